Add the thin whole path as separate processes

A request goes from a caller through an entry process to an endpoint and back under a contract that an operator applied; the operator ends the contract and is given the proof that its traffic has stopped.

Cause: there was nothing. The decisions are free functions over plain structs (src/node, broker, ledger, config, membership) without sockets or clock; the shell (edge, peer, platform, operator_api, app) runs them on four threads joined by bounded rings.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Shows the whole path on loopback: a contract is applied, requests are served, the contract is
+# ended, and the proof that its traffic has stopped is printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BUILD=${BUILD:-build}
+WORK=$(mktemp -d)
+. scripts/cluster.sh
+trap 'stop_all; rm -rf "$WORK"' EXIT
+
+echo "== a store, three endpoints in three zones, three entry hosts"
+start_store
+for number in 1 2 3; do start_endpoint "$number" "z$number"; done
+plan_entries 3
+for number in 1 2 3; do start_entry "$number"; done
+wait_ready 1 2 3
+
+echo "== apply a contract"
+"$BUILD/guavabay" contract apply --operators "$operators" --wait 8 examples/contracts
+"$BUILD/guavabay" status --operators "$operators" registrars
+
+echo "== one request, as a caller sends it"
+fetch "127.0.0.1:$((base_port + 201))/convert/feast" -H 'Authorization: Bearer demo-key' \
+    -H 'X-Caller-Id: first'
+echo
+
+echo "== 600 requests, a third of them through each entry host"
+"$BUILD/guavabay-standins" caller --targets "$targets" --rate 300 --requests 400 --name get \
+    --record "$WORK/get.told"
+"$BUILD/guavabay-standins" caller --targets "$targets" --rate 200 --requests 200 --name post \
+    --method post --keyed yes --record "$WORK/post.told"
+"$BUILD/guavabay-standins" check --runs "$run_files" --told "$WORK/get.told,$WORK/post.told"
+
+echo "== end the contract and prove that its traffic has stopped"
+"$BUILD/guavabay" contract end --operators "$operators" --wait 8 registrars
+"$BUILD/guavabay" contract proof --operators "$operators" --wait 8 registrars
+fetch "127.0.0.1:$((base_port + 202))/convert/feast" -H 'Authorization: Bearer demo-key'
+echo
+
+echo "== planned stop of all entry hosts"
+for number in 1 2 3; do stop_process "h$number" TERM; done
+for number in 1 2 3; do wait_process "h$number"; done
+echo "demo finished"
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,48 @@
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "app/contract_command.h"
+#include "app/exit_status.h"
+#include "app/serve.h"
+#include "app/version.h"
+
+namespace {
+
+constexpr const char* usage = "usage: guavabay COMMAND [FLAGS]\n"
+                              "  serve      runs an entry host's process\n"
+                              "  contract   check, apply, get, list, end, proof\n"
+                              "  status     shows entry hosts and what is in force on them\n"
+                              "Each command explains itself with --help.\n";
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.empty()) {
+        std::cerr << usage;
+        return guavabay::exit_usage;
+    }
+    const std::string& command = words.front();
+    const std::vector<std::string> rest(words.begin() + 1, words.end());
+    if (command == "--help" || command == "help") {
+        std::cout << usage;
+        return guavabay::exit_success;
+    }
+    if (command == "--version") {
+        std::cout << "guavabay " << guavabay::program_version << "\n";
+        return guavabay::exit_success;
+    }
+    if (command == "serve") {
+        return guavabay::run_serve(rest);
+    }
+    if (command == "contract") {
+        return guavabay::run_contract(rest);
+    }
+    if (command == "status") {
+        return guavabay::run_status(rest);
+    }
+    std::cerr << "guavabay: unknown command " << command << "\n" << usage;
+    return guavabay::exit_usage;
+}
--- /dev/null
+++ b/src/core/result.cpp
@@ -0,0 +1,11 @@
+#include "core/result.h"
+
+namespace guavabay {
+
+std::string& last_reason()
+{
+    thread_local std::string reason;
+    return reason;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/edge/edge_server.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "edge/request_flow.h"
+
+namespace guavabay {
+
+/// Accepts callers' connections and serves their requests one after another on each. Lives on
+/// the edge's thread.
+class edge_server {
+public:
+    /// Opens the callers' address. Throws boost::system::system_error when it is taken.
+    edge_server(asio::io_context& context, const ip_address& address, const edge_limits& limits,
+                request_flow& flow, shared_state& shared, std::function<void()> on_idle);
+
+    /// Starts a planned stop: requests on open connections are served for a while, each answer
+    /// closes its connection, and the idle function is called once nothing is left.
+    void stop();
+
+    /// Number of requests being served.
+    [[nodiscard]] std::size_t active_requests() const { return m_active; }
+
+private:
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket);
+    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    asio::awaitable<string_response> answer_to(http::request<http::string_body> request);
+    asio::awaitable<void> refuse_connection(asio::ip::tcp::socket socket);
+    asio::awaitable<void> drain();
+    asio::awaitable<void> tend();
+
+    /// A caller's connection, in the list of all of them for as long as it lives.
+    struct open_connection : boost::intrusive::list_base_hook<> {
+        beast::tcp_stream m_stream;
+        bool m_idle = true; ///< No byte of a next request has arrived.
+    };
+
+    using connection_list = boost::intrusive::list<open_connection>;
+
+    void close_idle();
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    edge_limits m_limits;
+    request_flow& m_flow;
+    shared_state& m_shared;
+    std::function<void()> m_on_idle;
+    connection_list m_connections;
+    std::size_t m_active = 0;
+    std::uint64_t m_held_bytes = 0;
+    bool m_stopping = false;
+    bool m_closing = false; ///< Past the drain time: idle connections are closed.
+};
+
+} // namespace guavabay
--- /dev/null
+++ b/src/operator_api/operator_server.cpp
@@ -0,0 +1,253 @@
+#include "operator_api/operator_server.h"
+
+#include <charconv>
+
+#include "contract/digest.h"
+#include "log/log.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr seconds read_patience{75};
+constexpr seconds answer_patience{15};
+constexpr std::uint64_t max_body_bytes = 1U << 20U;
+constexpr std::size_t max_connections = 256;
+constexpr std::size_t max_waiting = 1024;
+constexpr std::string_view contracts_path = "/v1/contracts";
+constexpr std::string_view bearer_prefix = "Bearer ";
+
+std::string_view to_view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::string header(const http::request<http::string_body>& request, const char* name)
+{
+    return std::string(to_view(request[name]));
+}
+
+/// The parts of a path such as /v1/contracts/NAME/proof after the common start.
+std::pair<std::string, std::string> split_path(std::string_view target)
+{
+    std::string_view rest = target.substr(contracts_path.size());
+    if (!rest.empty() && rest.front() == '/') {
+        rest.remove_prefix(1);
+    }
+    const std::size_t slash = rest.find('/');
+    if (slash == std::string_view::npos) {
+        return {std::string(rest), ""};
+    }
+    return {std::string(rest.substr(0, slash)), std::string(rest.substr(slash + 1))};
+}
+
+std::optional<operator_verb> verb_of(http::verb method, const std::string& customer,
+                                     const std::string& action)
+{
+    if (customer.empty()) {
+        return method == http::verb::get ? std::optional(operator_verb::list) : std::nullopt;
+    }
+    if (action == "status" && method == http::verb::get) {
+        return operator_verb::status;
+    }
+    if (action == "proof" && method == http::verb::get) {
+        return operator_verb::proof;
+    }
+    if (!action.empty()) {
+        return std::nullopt;
+    }
+    switch (method) {
+    case http::verb::get:
+        return operator_verb::get;
+    case http::verb::put:
+        return operator_verb::apply;
+    case http::verb::delete_:
+        return operator_verb::end;
+    default:
+        return std::nullopt;
+    }
+}
+
+std::vector<host_id> read_hosts(const std::string& text)
+{
+    std::vector<host_id> hosts;
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+        const std::size_t end = std::min(text.find(',', begin), text.size());
+        hosts.emplace_back(text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return hosts;
+}
+
+} // namespace
+
+operator_server::operator_server(asio::io_context& context, const ip_address& address,
+                                 std::string key, request_sender sender,
+                                 const request_metrics& metrics, shared_state& shared)
+    : m_context(context), m_acceptor(context, address.tcp()), m_key(std::move(key)),
+      m_send(std::move(sender)), m_metrics(metrics), m_shared(shared)
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+void operator_server::take(operator_answer&& answer)
+{
+    const auto found = m_waiters.find(answer.m_number);
+    if (found != m_waiters.end()) {
+        found->second->m_answer = std::move(answer);
+        found->second->m_timer.cancel();
+    }
+}
+
+asio::awaitable<void> operator_server::accept()
+{
+    while (true) {
+        error_code error;
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error && m_connections < max_connections) {
+            asio::co_spawn(m_context, serve_connection(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> operator_server::serve_connection(asio::ip::tcp::socket socket)
+{
+    ++m_connections;
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    error_code error;
+    bool open = true;
+    while (open) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(max_body_bytes);
+        stream.expires_after(read_patience);
+        co_await http::async_read(stream, buffer, parser, to_coroutine(error));
+        if (error) {
+            break;
+        }
+        const http::request<http::string_body> request = parser.release();
+        stream.expires_never();
+        string_response response = co_await answer_to(request);
+        response.keep_alive(request.keep_alive());
+        open = request.keep_alive();
+        stream.expires_after(read_patience);
+        co_await http::async_write(stream, response, to_coroutine(error));
+        open = open && !error;
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    --m_connections;
+}
+
+std::optional<string_response>
+operator_server::answer_here(const http::request<http::string_body>& request)
+{
+    const std::string_view target = to_view(request.target());
+    if (target == "/live") {
+        return make_answer(http::status::ok, "text/plain", "live\n");
+    }
+    if (target == "/ready") {
+        const bool fresh =
+            m_shared.m_fresh_until_us.load() > read_clock().time_since_epoch().count();
+        if (m_shared.m_ready.load() && fresh) {
+            return make_answer(http::status::ok, "text/plain", "ready\n");
+        }
+        return make_error_answer(error_kind::not_ready, {});
+    }
+    const std::string_view credentials = to_view(request[http::field::authorization]);
+    const std::string_view given = credentials.starts_with(bearer_prefix)
+                                       ? credentials.substr(bearer_prefix.size())
+                                       : std::string_view();
+    if (!m_key.empty() && !equal_in_constant_time(digest_of(given), digest_of(m_key))) {
+        return make_error_answer(error_kind::unauthorized, {});
+    }
+    if (target == "/metrics") {
+        return make_answer(http::status::ok, "text/plain; version=0.0.4", m_metrics.to_text());
+    }
+    if (target == "/v1/histograms") {
+        return make_answer(http::status::ok, "application/json", m_metrics.to_json());
+    }
+    if (target == "/v1/log-level" && request.method() == http::verb::put) {
+        const std::string& level = request.body();
+        if (level != "info" && level != "warning" && level != "error") {
+            return make_error_answer(error_kind::bad_request, {},
+                                     "the level is info, warning or error");
+        }
+        set_log_threshold(level == "info"      ? log_threshold::info
+                          : level == "warning" ? log_threshold::warning
+                                               : log_threshold::error);
+        return make_answer(http::status::ok, "text/plain", level + "\n");
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<string_response>
+operator_server::answer_to(const http::request<http::string_body>& request)
+{
+    std::optional<string_response> here = answer_here(request);
+    if (here) {
+        co_return std::move(*here);
+    }
+    const std::string_view target = to_view(request.target());
+    operator_request call;
+    if (target == "/v1/members" && request.method() == http::verb::get) {
+        call.m_verb = operator_verb::members;
+        co_return co_await call_control(std::move(call));
+    }
+    if (!target.starts_with(contracts_path)) {
+        co_return make_error_answer(error_kind::not_found, {}, "no such path");
+    }
+    const auto [customer, action] = split_path(target);
+    const std::optional<operator_verb> verb = verb_of(request.method(), customer, action);
+    if (!verb) {
+        co_return make_error_answer(error_kind::bad_request, {}, "no such call");
+    }
+    call.m_verb = *verb;
+    call.m_customer = customer_id(customer);
+    call.m_body = request.body();
+    call.m_operation = operation_id(header(request, "Operation-Id"));
+    call.m_operator = header(request, "Operator");
+    call.m_assumed_gone = read_hosts(header(request, "Assume-Gone"));
+    const std::string expected = header(request, "If-Version");
+    if (!expected.empty()) {
+        std::int64_t number = 0;
+        const auto [end, status] =
+            std::from_chars(expected.data(), expected.data() + expected.size(), number);
+        if (status != std::errc() || end != expected.data() + expected.size()) {
+            co_return make_error_answer(error_kind::bad_request, {}, "If-Version is not a number");
+        }
+        call.m_expected = revision(number);
+    }
+    const bool changes = *verb == operator_verb::apply || *verb == operator_verb::end;
+    if (changes && call.m_operation.empty()) {
+        co_return make_error_answer(error_kind::bad_request, {}, "Operation-Id is missing");
+    }
+    co_return co_await call_control(std::move(call));
+}
+
+asio::awaitable<string_response> operator_server::call_control(operator_request call)
+{
+    const std::uint64_t number = m_next_number++;
+    call.m_number = number;
+    waiter waiting{asio::steady_timer(m_context), std::nullopt};
+    waiting.m_timer.expires_after(answer_patience);
+    if (m_waiters.size() >= max_waiting || !m_send(std::move(call))) {
+        co_return make_error_answer(error_kind::overloaded, {});
+    }
+    m_waiters[number] = &waiting;
+    error_code ignored;
+    co_await waiting.m_timer.async_wait(to_coroutine(ignored));
+    m_waiters.erase(number);
+    if (!waiting.m_answer) {
+        co_return make_error_answer(error_kind::outcome_unknown, {});
+    }
+    if (waiting.m_answer->m_kind) {
+        co_return make_error_answer(*waiting.m_answer->m_kind, {}, waiting.m_answer->m_body);
+    }
+    co_return make_answer(http::status::ok, "application/json", waiting.m_answer->m_body);
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/peer/codec.cpp
@@ -0,0 +1,98 @@
+#include "peer/codec.h"
+
+#include <algorithm>
+#include <array>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <new>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <sstream>
+
+#include "core/check.h"
+#include "core/result.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr std::string_view magic = "GB";
+constexpr char protocol_version = 1;
+constexpr std::size_t tag_bytes = 16;
+constexpr std::size_t header_bytes = magic.size() + 2 + tag_bytes;
+
+using tag = std::array<unsigned char, tag_bytes>;
+
+/// Truncated HMAC-SHA256 over the key id and the body.
+tag sign(std::string_view body, const peer_key& key)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> full{};
+    unsigned length = 0;
+    HMAC(EVP_sha256(), key.m_secret.data(), static_cast<int>(key.m_secret.size()),
+         reinterpret_cast<const unsigned char*>(body.data()), body.size(), full.data(), &length);
+    check(length >= tag_bytes, "the digest covers the tag");
+    tag result{};
+    std::copy_n(full.begin(), tag_bytes, result.begin());
+    return result;
+}
+
+} // namespace
+
+std::string encode_packet(const peer_packet& packet, const peer_key& key)
+{
+    std::ostringstream body_stream(std::ios::binary);
+    {
+        cereal::PortableBinaryOutputArchive archive(body_stream);
+        archive(packet);
+    }
+    const std::string body = body_stream.str();
+    const tag signature = sign(body, key);
+    std::string bytes;
+    bytes.reserve(header_bytes + body.size());
+    bytes += magic;
+    bytes += protocol_version;
+    bytes += static_cast<char>(key.m_id);
+    bytes.append(reinterpret_cast<const char*>(signature.data()), signature.size());
+    bytes += body;
+    return bytes;
+}
+
+std::optional<peer_packet> decode_packet(std::string_view bytes, const peer_keys& keys)
+{
+    if (bytes.size() < header_bytes || bytes.size() > max_packet_bytes ||
+        bytes.substr(0, magic.size()) != magic) {
+        return fail("not a packet of this protocol");
+    }
+    if (bytes[magic.size()] != protocol_version) {
+        return fail("protocol version " + std::to_string(bytes[magic.size()]) + " is not known");
+    }
+    const auto key_id = static_cast<std::uint8_t>(bytes[magic.size() + 1]);
+    const auto key = std::find_if(keys.begin(), keys.end(),
+                                  [key_id](const peer_key& k) { return k.m_id == key_id; });
+    if (key == keys.end()) {
+        return fail("key " + std::to_string(key_id) + " is not known");
+    }
+    const std::string_view body = bytes.substr(header_bytes);
+    const tag expected = sign(body, *key);
+    if (CRYPTO_memcmp(expected.data(), bytes.data() + magic.size() + 2, tag_bytes) != 0) {
+        return fail("wrong signature");
+    }
+    try {
+        std::istringstream stream(std::string(body), std::ios::binary);
+        cereal::PortableBinaryInputArchive archive(stream);
+        peer_packet packet;
+        archive(packet);
+        return packet;
+    }
+    catch (const std::exception& error) {
+        return fail(std::string("malformed packet: ") + error.what());
+    }
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/platform/etcd_codec.cpp
@@ -0,0 +1,294 @@
+#include "platform/etcd_codec.h"
+
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "core/result.h"
+#include "net/base64.h"
+
+namespace guavabay {
+
+namespace json = boost::json;
+
+namespace {
+
+/// The first key after all keys that start with a prefix.
+std::string end_of_prefix(std::string prefix)
+{
+    prefix.back() = static_cast<char>(prefix.back() + 1);
+    return prefix;
+}
+
+/// A 64-bit number, which the gateway writes as a string; zero when absent.
+std::int64_t number_at(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains({name.data(), name.size()});
+    if (value == nullptr) {
+        return 0;
+    }
+    if (value->is_int64()) {
+        return value->get_int64();
+    }
+    std::int64_t number = 0;
+    if (value->is_string()) {
+        const json::string& text = value->get_string();
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    }
+    return number;
+}
+
+const json::object* object_at(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains({name.data(), name.size()});
+    return value == nullptr ? nullptr : value->if_object();
+}
+
+const json::array* array_at(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains({name.data(), name.size()});
+    return value == nullptr ? nullptr : value->if_array();
+}
+
+std::optional<std::string> bytes_at(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains({name.data(), name.size()});
+    if (value == nullptr || !value->is_string()) {
+        return std::string();
+    }
+    return from_base64({value->get_string().data(), value->get_string().size()});
+}
+
+std::optional<json::object> parse_object(std::string_view text)
+{
+    boost::system::error_code error;
+    json::value value = json::parse({text.data(), text.size()}, error);
+    if (error || !value.is_object()) {
+        return fail("the store's answer is not a JSON object");
+    }
+    return value.get_object();
+}
+
+/// Reads one key and value; empty when it lies outside the prefix.
+std::optional<config_record> read_record(const json::object& object, const std::string& prefix)
+{
+    const std::optional<std::string> key = bytes_at(object, "key");
+    const std::optional<std::string> value = bytes_at(object, "value");
+    if (!key || !value || !key->starts_with(prefix)) {
+        return fail("a record of the store is malformed");
+    }
+    return config_record{key->substr(prefix.size()), revision(number_at(object, "mod_revision")),
+                         *value};
+}
+
+std::string encode_swap(const store_swap& swap, const std::string& prefix)
+{
+    const std::string key = to_base64(prefix + swap.m_key);
+    json::object put{{"key", key}, {"value", to_base64(swap.m_value)}};
+    if (swap.m_lease != lease_id{}) {
+        put["lease"] = std::to_string(swap.m_lease.get());
+    }
+    const json::object compare{{"key", key},
+                               {"target", "MOD"},
+                               {"result", "EQUAL"},
+                               {"mod_revision", std::to_string(swap.m_expected.get())}};
+    const json::object body{
+        {"compare", json::array{compare}},
+        {"success", json::array{json::object{{"request_put", put}}}},
+        {"failure", json::array{json::object{{"request_range", json::object{{"key", key}}}}}}};
+    return json::serialize(body);
+}
+
+config_record first_record(const json::object& range, const std::string& prefix)
+{
+    const json::array* records = array_at(range, "kvs");
+    if (records == nullptr || records->empty() || !records->front().is_object()) {
+        return {};
+    }
+    return read_record(records->front().get_object(), prefix).value_or(config_record{});
+}
+
+void decode_swap(const json::object& answer, const store_swap& swap, const std::string& prefix,
+                 store_result& result)
+{
+    const json::value* succeeded = answer.if_contains("succeeded");
+    const json::object* header = object_at(answer, "header");
+    if (header == nullptr) {
+        return;
+    }
+    if (succeeded != nullptr && succeeded->is_bool() && succeeded->get_bool()) {
+        result.m_outcome = store_outcome::done;
+        result.m_record = {swap.m_key, revision(number_at(*header, "revision")), swap.m_value};
+        return;
+    }
+    const json::array* responses = array_at(answer, "responses");
+    if (responses == nullptr || responses->empty() || !responses->front().is_object()) {
+        return;
+    }
+    const json::object* range = object_at(responses->front().get_object(), "response_range");
+    if (range == nullptr) {
+        return;
+    }
+    result.m_outcome = store_outcome::refused;
+    result.m_record = first_record(*range, prefix);
+    result.m_record.m_key = swap.m_key;
+}
+
+void decode_lease(const json::object& answer, const char* name, store_result& result)
+{
+    const std::int64_t lifetime = number_at(answer, "TTL");
+    result.m_lease = lease_id(number_at(answer, name));
+    result.m_outcome = lifetime > 0 ? store_outcome::done : store_outcome::refused;
+}
+
+} // namespace
+
+etcd_request encode_call(const store_call& call, const std::string& prefix)
+{
+    if (const auto* read = std::get_if<store_read>(&call.m_operation)) {
+        return {"/v3/kv/range",
+                json::serialize(json::object{{"key", to_base64(prefix + read->m_key)}})};
+    }
+    if (const auto* swap = std::get_if<store_swap>(&call.m_operation)) {
+        return {"/v3/kv/txn", encode_swap(*swap, prefix)};
+    }
+    if (const auto* grant = std::get_if<store_grant_lease>(&call.m_operation)) {
+        return {"/v3/lease/grant",
+                json::serialize(json::object{{"TTL", std::to_string(grant->m_seconds)}})};
+    }
+    if (const auto* keep = std::get_if<store_keep_lease>(&call.m_operation)) {
+        return {"/v3/lease/keepalive",
+                json::serialize(json::object{{"ID", std::to_string(keep->m_lease.get())}})};
+    }
+    if (const auto* revoke = std::get_if<store_revoke_lease>(&call.m_operation)) {
+        return {"/v3/lease/revoke",
+                json::serialize(json::object{{"ID", std::to_string(revoke->m_lease.get())}})};
+    }
+    return {};
+}
+
+store_result decode_result(const store_call& call, std::string_view body, const std::string& prefix)
+{
+    store_result result;
+    result.m_number = call.m_number;
+    const std::optional<json::object> answer = parse_object(body);
+    if (!answer) {
+        return result;
+    }
+    if (const auto* read = std::get_if<store_read>(&call.m_operation)) {
+        if (object_at(*answer, "header") != nullptr) {
+            result.m_outcome = store_outcome::done;
+            result.m_record = first_record(*answer, prefix);
+            result.m_record.m_key = read->m_key;
+        }
+    }
+    else if (const auto* swap = std::get_if<store_swap>(&call.m_operation)) {
+        decode_swap(*answer, *swap, prefix, result);
+    }
+    else if (std::holds_alternative<store_grant_lease>(call.m_operation)) {
+        decode_lease(*answer, "ID", result);
+    }
+    else if (std::holds_alternative<store_keep_lease>(call.m_operation)) {
+        const json::object* kept = object_at(*answer, "result");
+        if (kept != nullptr) {
+            decode_lease(*kept, "ID", result);
+        }
+    }
+    else if (std::holds_alternative<store_revoke_lease>(call.m_operation)) {
+        result.m_outcome = store_outcome::done;
+    }
+    return result;
+}
+
+etcd_request encode_read_all(const std::string& prefix)
+{
+    return {"/v3/kv/range",
+            json::serialize(json::object{{"key", to_base64(prefix)},
+                                         {"range_end", to_base64(end_of_prefix(prefix))}})};
+}
+
+etcd_request encode_read_newest(const std::string& prefix)
+{
+    return {"/v3/kv/range",
+            json::serialize(json::object{{"key", to_base64(prefix)},
+                                         {"range_end", to_base64(end_of_prefix(prefix))},
+                                         {"limit", "1"},
+                                         {"sort_order", "DESCEND"},
+                                         {"sort_target", "MOD"},
+                                         {"keys_only", true}})};
+}
+
+std::optional<store_update> decode_range(std::string_view body, const std::string& prefix)
+{
+    const std::optional<json::object> answer = parse_object(body);
+    if (!answer) {
+        return std::nullopt;
+    }
+    const json::object* header = object_at(*answer, "header");
+    if (header == nullptr) {
+        return fail("the store's answer has no header");
+    }
+    store_update update;
+    update.m_full = true;
+    update.m_revision = revision(number_at(*header, "revision"));
+    const json::array* records = array_at(*answer, "kvs");
+    if (records == nullptr) {
+        return update;
+    }
+    for (const json::value& entry : *records) {
+        if (!entry.is_object()) {
+            return fail("a record of the store is malformed");
+        }
+        std::optional<config_record> record = read_record(entry.get_object(), prefix);
+        if (!record) {
+            return std::nullopt;
+        }
+        update.m_records.push_back(std::move(*record));
+    }
+    return update;
+}
+
+etcd_request encode_watch(const std::string& prefix, revision from)
+{
+    const json::object create{{"key", to_base64(prefix)},
+                              {"range_end", to_base64(end_of_prefix(prefix))},
+                              {"start_revision", std::to_string(from.get())}};
+    return {"/v3/watch", json::serialize(json::object{{"create_request", create}})};
+}
+
+std::optional<store_update> decode_watch_line(std::string_view line, const std::string& prefix)
+{
+    const std::optional<json::object> answer = parse_object(line);
+    if (!answer) {
+        return std::nullopt;
+    }
+    const json::object* result = object_at(*answer, "result");
+    const json::object* header = result == nullptr ? nullptr : object_at(*result, "header");
+    if (header == nullptr || result->contains("canceled")) {
+        return fail("the store ended the watch");
+    }
+    store_update update;
+    update.m_revision = revision(number_at(*header, "revision"));
+    const json::array* events = array_at(*result, "events");
+    if (events == nullptr) {
+        return update;
+    }
+    for (const json::value& entry : *events) {
+        const json::object* event = entry.if_object();
+        const json::object* fields = event == nullptr ? nullptr : object_at(*event, "kv");
+        if (fields == nullptr) {
+            return fail("an event of the store is malformed");
+        }
+        std::optional<config_record> record = read_record(*fields, prefix);
+        if (!record) {
+            return std::nullopt;
+        }
+        const json::value* type = event->if_contains("type");
+        if (type != nullptr && type->is_string() && type->get_string() == "DELETE") {
+            record->m_value.clear();
+        }
+        update.m_records.push_back(std::move(*record));
+    }
+    return update;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/platform/store.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "config/config_table.h"
+#include "core/ids.h"
+
+namespace guavabay {
+
+/// How a call to the platform store ended. Unknown means that a write may have taken effect.
+enum class store_outcome : std::uint8_t { done, refused, unknown };
+
+/// Reads one record.
+struct store_read {
+    std::string m_key;
+};
+
+/// Writes a record only if its revision is still the expected one; zero expects no record.
+struct store_swap {
+    std::string m_key;
+    revision m_expected;
+    std::string m_value;
+    lease_id m_lease; ///< Zero for a record that outlives its writer.
+};
+
+/// Grants a lease.
+struct store_grant_lease {
+    std::int64_t m_seconds = 0;
+};
+
+/// Extends a lease.
+struct store_keep_lease {
+    lease_id m_lease;
+};
+
+/// Ends a lease and removes its records.
+struct store_revoke_lease {
+    lease_id m_lease;
+};
+
+/// Reads everything again and starts a new watch.
+struct store_resync {};
+
+/// A call to the store. The number is echoed in the result.
+struct store_call {
+    std::uint64_t m_number = 0;
+    std::variant<store_read, store_swap, store_grant_lease, store_keep_lease, store_revoke_lease,
+                 store_resync>
+        m_operation;
+};
+
+/// The result of a call. A refused swap carries the record that stands in its way.
+struct store_result {
+    std::uint64_t m_number = 0;
+    store_outcome m_outcome = store_outcome::unknown;
+    config_record m_record;
+    lease_id m_lease;
+};
+
+/// Records that the store told of by itself. A full set lists every record that exists.
+struct store_update {
+    std::vector<config_record> m_records;
+    bool m_full = false;
+    revision m_revision; ///< Position of the store's history that a full set shows.
+};
+
+/// The store answers again, or no longer.
+struct store_reachability {
+    bool m_reachable = false;
+};
+
+/// Everything that arrives from the store.
+using store_event = std::variant<store_result, store_update, store_reachability>;
+
+} // namespace guavabay
--- /dev/null
+++ b/standins/store_table.cpp
@@ -0,0 +1,216 @@
+#include "store_table.h"
+
+#include <algorithm>
+
+#include "net/base64.h"
+
+namespace standins {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string text_at(const json::object& object, const char* name)
+{
+    const json::value* value = object.if_contains(name);
+    return value != nullptr && value->is_string() ? std::string(value->get_string().c_str())
+                                                  : std::string();
+}
+
+std::int64_t number_at(const json::object& object, const char* name)
+{
+    const json::value* value = object.if_contains(name);
+    if (value == nullptr) {
+        return 0;
+    }
+    return value->is_int64() ? value->get_int64() : std::stoll("0" + text_at(object, name));
+}
+
+std::string bytes_at(const json::object& object, const char* name)
+{
+    return guavabay::from_base64(text_at(object, name)).value_or("");
+}
+
+bool within(const std::string& key, const std::string& first, const std::string& end)
+{
+    return end.empty() ? key == first : key >= first && key < end;
+}
+
+} // namespace
+
+json::object store_table::header() const
+{
+    return {{"revision", std::to_string(m_revision)}};
+}
+
+json::object store_table::describe(const std::string& key, const record& one, bool with_value)
+{
+    json::object object{{"key", guavabay::to_base64(key)},
+                        {"create_revision", std::to_string(one.m_created)},
+                        {"mod_revision", std::to_string(one.m_modified)},
+                        {"version", std::to_string(one.m_version)}};
+    if (with_value) {
+        object["value"] = guavabay::to_base64(one.m_value);
+    }
+    return object;
+}
+
+json::object store_table::range(const json::object& request) const
+{
+    const std::string first = bytes_at(request, "key");
+    const std::string end = bytes_at(request, "range_end");
+    const bool keys_only = request.contains("keys_only");
+    std::vector<std::pair<std::string, record>> found;
+    for (const auto& [key, one] : m_records) {
+        if (within(key, first, end)) {
+            found.emplace_back(key, one);
+        }
+    }
+    if (text_at(request, "sort_target") == "MOD") {
+        std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
+            return left.second.m_modified > right.second.m_modified;
+        });
+    }
+    const auto limit = static_cast<std::size_t>(number_at(request, "limit"));
+    const std::size_t total = found.size();
+    if (limit > 0 && found.size() > limit) {
+        found.resize(limit);
+    }
+    json::array records;
+    for (const auto& [key, one] : found) {
+        records.push_back(describe(key, one, !keys_only));
+    }
+    return {{"header", header()}, {"kvs", std::move(records)}, {"count", std::to_string(total)}};
+}
+
+void store_table::write(const json::object& request)
+{
+    ++m_revision;
+    const std::string key = bytes_at(request, "key");
+    record& one = m_records[key];
+    one.m_value = bytes_at(request, "value");
+    one.m_created = one.m_created == 0 ? m_revision : one.m_created;
+    one.m_modified = m_revision;
+    ++one.m_version;
+    one.m_lease = number_at(request, "lease");
+    m_changes.push_back({m_revision, key, {{"kv", describe(key, one, true)}}});
+}
+
+json::object store_table::put(const json::object& request)
+{
+    write(request);
+    return {{"header", header()}};
+}
+
+json::object store_table::transact(const json::object& request)
+{
+    bool holds = true;
+    for (const json::value& entry : request.at("compare").as_array()) {
+        const json::object& compare = entry.as_object();
+        const auto found = m_records.find(bytes_at(compare, "key"));
+        const std::int64_t modified = found == m_records.end() ? 0 : found->second.m_modified;
+        holds = holds && modified == number_at(compare, "mod_revision");
+    }
+    json::array responses;
+    for (const json::value& entry : request.at(holds ? "success" : "failure").as_array()) {
+        const json::object& operation = entry.as_object();
+        if (const json::value* put_request = operation.if_contains("request_put")) {
+            const json::object& wanted = put_request->as_object();
+            const std::int64_t lease_id = number_at(wanted, "lease");
+            if (lease_id != 0 && !m_leases.contains(lease_id)) {
+                return {{"error", "requested lease not found"}, {"code", 5}};
+            }
+            write(wanted);
+            responses.emplace_back(
+                json::object{{"response_put", json::object{{"header", header()}}}});
+        }
+        if (const json::value* read = operation.if_contains("request_range")) {
+            responses.emplace_back(json::object{{"response_range", range(read->as_object())}});
+        }
+    }
+    json::object answer{{"header", header()}, {"responses", std::move(responses)}};
+    if (holds) {
+        answer["succeeded"] = true;
+    }
+    return answer;
+}
+
+json::object store_table::grant(const json::object& request, std::int64_t now_ms)
+{
+    const std::int64_t lifetime = number_at(request, "TTL") * 1000;
+    const std::int64_t id = m_next_lease++;
+    m_leases[id] = {lifetime, now_ms + lifetime};
+    return {
+        {"header", header()}, {"ID", std::to_string(id)}, {"TTL", std::to_string(lifetime / 1000)}};
+}
+
+json::object store_table::keep(const json::object& request, std::int64_t now_ms)
+{
+    const std::int64_t id = number_at(request, "ID");
+    const auto found = m_leases.find(id);
+    json::object result{{"header", header()}, {"ID", std::to_string(id)}};
+    if (found != m_leases.end()) {
+        found->second.m_until_ms = now_ms + found->second.m_lifetime_ms;
+        result["TTL"] = std::to_string(found->second.m_lifetime_ms / 1000);
+    }
+    return {{"result", std::move(result)}};
+}
+
+json::object store_table::revoke(const json::object& request)
+{
+    remove_lease(number_at(request, "ID"));
+    return {{"header", header()}};
+}
+
+void store_table::remove_lease(std::int64_t id)
+{
+    m_leases.erase(id);
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        if (it->second.m_lease != id) {
+            ++it;
+            continue;
+        }
+        ++m_revision;
+        json::object kv{{"key", guavabay::to_base64(it->first)},
+                        {"mod_revision", std::to_string(m_revision)}};
+        m_changes.push_back({m_revision, it->first, {{"type", "DELETE"}, {"kv", std::move(kv)}}});
+        it = m_records.erase(it);
+    }
+}
+
+void store_table::expire(std::int64_t now_ms)
+{
+    std::vector<std::int64_t> lapsed;
+    for (const auto& [id, one] : m_leases) {
+        if (one.m_until_ms <= now_ms) {
+            lapsed.push_back(id);
+        }
+    }
+    for (const std::int64_t id : lapsed) {
+        remove_lease(id);
+    }
+}
+
+void store_table::expire_all()
+{
+    while (!m_leases.empty()) {
+        remove_lease(m_leases.begin()->first);
+    }
+}
+
+std::vector<store_table::change> store_table::changes_since(std::int64_t revision,
+                                                            const std::string& key,
+                                                            const std::string& range_end) const
+{
+    const std::string first = guavabay::from_base64(key).value_or("");
+    const std::string end = guavabay::from_base64(range_end).value_or("");
+    std::vector<change> found;
+    for (const change& one : m_changes) {
+        if (one.m_revision >= revision && within(one.m_key, first, end)) {
+            found.push_back(one);
+        }
+    }
+    return found;
+}
+
+} // namespace standins
