--- a/src/ledger/key_ledger.cpp
+++ b/src/ledger/key_ledger.cpp
@@ -205,9 +205,10 @@
     earlier.m_epoch.m_number = epoch(next.m_number.get() - 1);
     earlier.m_epoch.m_members = next.m_previous;
     earlier.m_until = context.m_now + key_retention;
-    const bool was_member =
-        std::any_of(next.m_previous.begin(), next.m_previous.end(),
-                    [&context](const epoch_member& one) { return one.m_host == context.m_self; });
+    const bool was_member = std::any_of(
+        next.m_previous.begin(), next.m_previous.end(), [&context](const epoch_member& one) {
+            return one.m_host == context.m_self && one.m_incarnation == context.m_incarnation;
+        });
     const bool knew_it = ledger.m_epoch.m_number == earlier.m_epoch.m_number;
     if (was_member && knew_it) {
         earlier.m_received.insert(context.m_self);
@@ -360,7 +361,7 @@
         return;
     }
     drop_settled(ledger, context.m_now);
-    key_transfer_message transfer{ask.m_epoch, {}, false, {}};
+    key_transfer_message transfer{ask.m_epoch, context.m_incarnation, {}, false, {}};
     for (const auto& [hash, kept] : ledger.m_kept) {
         const key_keepers keepers = keepers_of(ledger.m_epoch, hash);
         if (keepers.m_owner != from && keepers.m_second != from) {
@@ -394,7 +395,7 @@
     }
     for (unsettled_epoch& earlier : ledger.m_unsettled) {
         for (const epoch_member& one : earlier.m_epoch.m_members) {
-            if (one.m_host == from) {
+            if (one.m_host == from && one.m_incarnation == transfer.m_incarnation) {
                 earlier.m_received.insert(from);
             }
         }
--- a/src/ledger/key_ledger.h
+++ b/src/ledger/key_ledger.h
@@ -69,6 +69,7 @@
 /// What the ledger needs to know of its process.
 struct ledger_context {
     host_id m_self;
+    incarnation m_incarnation;
     time_point m_now{};
     bool m_epoch_valid = false; ///< The epoch can be trusted not to have been replaced.
     std::function<bool(std::uint64_t origin)> m_origin_alive;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -76,6 +76,7 @@
     const node_state& node = context.m_node;
     ledger_context result;
     result.m_self = node.m_settings.m_self.m_host;
+    result.m_incarnation = node.m_settings.m_self.m_incarnation;
     result.m_now = context.m_now;
     result.m_epoch_valid = epoch_is_valid(node, context.m_now);
     result.m_origin_alive = [&node, now = context.m_now](std::uint64_t origin) {
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -391,6 +391,7 @@
 /// Hands keys over after the epoch changed. The sender no longer decides under older epochs.
 struct key_transfer_message {
     epoch m_epoch;
+    incarnation m_incarnation; ///< Tells a process from an earlier one of the same host.
     std::vector<key_record> m_records;
     bool m_last = false; ///< No more records follow.
     std::vector<epoch_gap> m_gaps;
@@ -398,7 +399,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(m_epoch, m_records, m_last, m_gaps);
+        archive(m_epoch, m_incarnation, m_records, m_last, m_gaps);
     }
 };
 
