Move and maintain the fleet's hosts under one fenced duty

A host is one record with one pool; every change is a compare-and-swap that also compares the record of the duty, so that a paused holder's write fails. The holder settles each lost answer before it decides again, and reads everything after it has taken the duty. Waves begin with one host, ramp with what came back, keep each pool's budget through one more failure of the largest domain, stop on correlated failures and replace hosts that do not come back from the spare pool.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -35,7 +35,9 @@
     for number in $(seq 1 "$1"); do
         operators="$operators${operators:+,}127.0.0.1:$((base_port + 300 + number))"
         targets="$targets${targets:+,}127.0.0.1:$((base_port + 200 + number))"
-        [ "$number" -le 3 ] && peers="$peers${peers:+,}127.0.0.1:$((base_port + 400 + number))"
+        if [ "$number" -le 3 ]; then
+            peers="$peers${peers:+,}127.0.0.1:$((base_port + 400 + number))"
+        fi
     done
 }
 
@@ -76,7 +78,9 @@
 
 stop_process() { # NAME SIGNAL
     local pid=${pid_of[$1]:-}
-    [ -n "$pid" ] && kill -"${2:-TERM}" "$pid" 2>/dev/null
+    if [ -n "$pid" ]; then
+        kill -"${2:-TERM}" "$pid" 2>/dev/null || true
+    fi
 }
 
 wait_process() { # NAME: gives the exit status
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -3,7 +3,9 @@
 #include <boost/json.hpp>
 
 #include "contract/contract_parser.h"
+#include "core/json_fields.h"
 #include "core/result.h"
+#include "fleet/wave_plan.h"
 
 namespace guavabay {
 
@@ -13,34 +15,6 @@
 
 constexpr std::size_t max_slots = 100'000;
 
-/// Parses text to a JSON object; empty with a reason otherwise.
-std::optional<json::object> parse_object(const std::string& text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        return fail("not a JSON object");
-    }
-    return value.get_object();
-}
-
-/// The text of a string member; empty when it is absent or of another type.
-std::string text_of(const json::object& object, std::string_view name)
-{
-    const json::value* value = object.if_contains({name.data(), name.size()});
-    if (value == nullptr || !value->is_string()) {
-        return {};
-    }
-    return {value->get_string().data(), value->get_string().size()};
-}
-
-/// A whole number member; zero when it is absent or of another type.
-std::int64_t number_of(const json::object& object, std::string_view name)
-{
-    const json::value* value = object.if_contains({name.data(), name.size()});
-    return value == nullptr || !value->is_int64() ? 0 : value->get_int64();
-}
-
 std::vector<contract_change> read_history(const json::object& object)
 {
     std::vector<contract_change> history;
@@ -50,8 +24,8 @@
     }
     for (const json::value& entry : list->get_array()) {
         if (entry.is_object()) {
-            history.push_back({operation_id(text_of(entry.get_object(), "operation")),
-                               revision(number_of(entry.get_object(), "revision"))});
+            history.push_back({operation_id(text_field(entry.get_object(), "operation")),
+                               revision(number_field(entry.get_object(), "revision"))});
         }
     }
     return history;
@@ -78,9 +52,9 @@
     for (const json::value& entry : list->get_array()) {
         if (entry.is_object()) {
             const json::object& fields = entry.get_object();
-            const auto run = static_cast<std::uint64_t>(number_of(fields, "incarnation"));
-            members.push_back({host_id(text_of(fields, "host")), zone_id(text_of(fields, "zone")),
-                               incarnation(run)});
+            const auto run = static_cast<std::uint64_t>(number_field(fields, "incarnation"));
+            members.push_back({host_id(text_field(fields, "host")),
+                               zone_id(text_field(fields, "zone")), incarnation(run)});
         }
     }
     return members;
@@ -90,7 +64,7 @@
 
 std::optional<contract_record> parse_contract_record(const std::string& value)
 {
-    const std::optional<json::object> object = parse_object(value);
+    const std::optional<json::object> object = parse_json_object(value);
     if (!object) {
         return std::nullopt;
     }
@@ -103,16 +77,16 @@
     if (!parsed) {
         return fail(describe(faults));
     }
-    const std::string state = text_of(*object, "state");
+    const std::string state = text_field(*object, "state");
     if (state != "active" && state != "ended") {
         return fail("the state is neither active nor ended");
     }
     contract_record record;
     record.m_terms = std::move(*parsed);
     record.m_ended = state == "ended";
-    record.m_operation = operation_id(text_of(*object, "operation"));
-    record.m_operator = text_of(*object, "operator");
-    record.m_changed_at = parse_wall_time(text_of(*object, "changed_at")).value_or(wall_time{});
+    record.m_operation = operation_id(text_field(*object, "operation"));
+    record.m_operator = text_field(*object, "operator");
+    record.m_changed_at = parse_wall_time(text_field(*object, "changed_at")).value_or(wall_time{});
     record.m_history = read_history(*object);
     return record;
 }
@@ -136,7 +110,7 @@
 
 std::optional<endpoint_listing> parse_endpoint(const std::string& key, const std::string& value)
 {
-    const std::optional<json::object> object = parse_object(value);
+    const std::optional<json::object> object = parse_json_object(value);
     if (!object) {
         return std::nullopt;
     }
@@ -148,10 +122,10 @@
     endpoint_listing listing;
     listing.m_service = service_id(key.substr(service_at, slash - service_at));
     listing.m_id = endpoint_id(key.substr(slash + 1));
-    listing.m_address = text_of(*object, "address");
-    listing.m_zone = zone_id(text_of(*object, "zone"));
-    listing.m_rack = rack_id(text_of(*object, "rack"));
-    const std::int64_t slots = number_of(*object, "slots");
+    listing.m_address = text_field(*object, "address");
+    listing.m_zone = zone_id(text_field(*object, "zone"));
+    listing.m_rack = rack_id(text_field(*object, "rack"));
+    const std::int64_t slots = number_field(*object, "slots");
     if (listing.m_address.find(':') == std::string::npos) {
         return fail("the address is not an IP number and a port");
     }
@@ -159,7 +133,7 @@
         return fail("the number of slots is out of range");
     }
     listing.m_slots = static_cast<std::uint32_t>(slots);
-    const std::string state = text_of(*object, "state");
+    const std::string state = text_field(*object, "state");
     if (state != "live" && state != "leaving") {
         return fail("the state is neither live nor leaving");
     }
@@ -180,12 +154,12 @@
 
 std::optional<epoch_record> parse_epoch(const std::string& value)
 {
-    const std::optional<json::object> object = parse_object(value);
+    const std::optional<json::object> object = parse_json_object(value);
     if (!object) {
         return std::nullopt;
     }
     epoch_record record;
-    record.m_number = epoch(static_cast<std::uint64_t>(number_of(*object, "number")));
+    record.m_number = epoch(static_cast<std::uint64_t>(number_field(*object, "number")));
     record.m_members = read_members(*object, "members");
     record.m_previous = read_members(*object, "previous");
     if (record.m_number == epoch{} || record.m_members.empty()) {
@@ -216,7 +190,16 @@
         return parse_endpoint(key, value) ? "" : last_reason();
     }
     if (key.starts_with(proof_prefix) || key.starts_with(member_prefix)) {
-        return parse_object(value) ? "" : last_reason();
+        return parse_json_object(value) ? "" : last_reason();
+    }
+    if (key.starts_with(host_prefix)) {
+        return parse_fleet_host(key.substr(host_prefix.size()), value) ? "" : last_reason();
+    }
+    if (key.starts_with(report_prefix)) {
+        return parse_host_report(value) ? "" : last_reason();
+    }
+    if (key == wave_key) {
+        return parse_wave(value) ? "" : last_reason();
     }
     if (key == epoch_key) {
         return parse_epoch(value) ? "" : last_reason();
--- a/src/config/records.h
+++ b/src/config/records.h
@@ -21,6 +21,14 @@
 inline constexpr std::string_view member_prefix = "member/";
 /// First part of the keys of proofs of departure.
 inline constexpr std::string_view proof_prefix = "proof/";
+/// First part of the keys of the fleet's hosts.
+inline constexpr std::string_view host_prefix = "host/";
+/// First part of the keys of what the platform reports of the fleet's hosts.
+inline constexpr std::string_view report_prefix = "report/";
+/// Key of the maintenance wave under way.
+inline constexpr std::string_view wave_key = "wave";
+/// Key of the duty of moving and maintaining hosts.
+inline constexpr std::string_view fleet_duty_key = "duty/fleet";
 /// Key of the agreed list of entry hosts that own idempotency keys.
 inline constexpr std::string_view epoch_key = "epoch";
 
--- /dev/null
+++ b/src/fleet/budget.cpp
@@ -0,0 +1,106 @@
+#include "fleet/budget.h"
+
+#include <algorithm>
+
+namespace guavabay {
+
+namespace {
+
+const pool_budget* find_budget(const fleet_view& fleet, const pool_id& pool)
+{
+    const auto found = fleet.m_budgets.find(pool);
+    return found == fleet.m_budgets.end() ? nullptr : &found->second;
+}
+
+/// The name of the failure domain that a host shares with others.
+std::string domain_of(const fleet_host& host, survivable_failure failure)
+{
+    switch (failure) {
+    case survivable_failure::host:
+        return host.m_id.str();
+    case survivable_failure::rack:
+        return host.m_zone.str() + "/" + host.m_rack.str();
+    case survivable_failure::zone:
+        return host.m_zone.str();
+    }
+    return host.m_id.str();
+}
+
+} // namespace
+
+pool_count count_pool(const fleet_view& fleet, const pool_id& pool,
+                      const std::set<worker_id>& left_out)
+{
+    const pool_budget* budget = find_budget(fleet, pool);
+    const survivable_failure failure =
+        budget == nullptr ? survivable_failure::host : budget->m_survives;
+    pool_count count;
+    std::map<std::string, std::uint32_t> domains;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        const bool counts = host.m_pool == pool && is_in_service(fleet, host);
+        if (!counts || left_out.contains(id)) {
+            continue;
+        }
+        ++count.m_in_service;
+        const std::uint32_t size = ++domains[domain_of(host, failure)];
+        count.m_largest_domain = std::max(count.m_largest_domain, size);
+    }
+    return count;
+}
+
+std::uint32_t spare_hosts(const fleet_view& fleet, const pool_id& pool,
+                          const std::set<worker_id>& left_out)
+{
+    const pool_budget* budget = find_budget(fleet, pool);
+    const pool_count count = count_pool(fleet, pool, left_out);
+    const std::uint32_t owed =
+        budget == nullptr || budget->m_min == 0 ? 0 : budget->m_min + count.m_largest_domain;
+    return count.m_in_service > owed ? count.m_in_service - owed : 0;
+}
+
+bool keeps_budget(const fleet_view& fleet, const pool_id& pool, const std::set<worker_id>& left_out)
+{
+    const pool_budget* budget = find_budget(fleet, pool);
+    if (budget == nullptr || budget->m_min == 0) {
+        return true;
+    }
+    const pool_count count = count_pool(fleet, pool, left_out);
+    return count.m_in_service >= budget->m_min + count.m_largest_domain;
+}
+
+std::vector<std::string> broken_budgets(const fleet_view& fleet)
+{
+    std::vector<std::string> broken;
+    for (const auto& [pool, budget] : fleet.m_budgets) {
+        const pool_count count = count_pool(fleet, pool);
+        if (count.m_in_service >= budget.m_min) {
+            continue;
+        }
+        std::string customers;
+        for (const customer_id& customer : budget.m_customers) {
+            customers += customers.empty() ? "" : ", ";
+            customers += customer.str();
+        }
+        broken.push_back("pool " + pool.str() + " has " + std::to_string(count.m_in_service) +
+                         " hosts in service and owes " + std::to_string(budget.m_min) + " to " +
+                         customers);
+    }
+    return broken;
+}
+
+std::map<pool_id, pool_budget> derive_budgets(const std::vector<const contract*>& contracts)
+{
+    std::map<pool_id, pool_budget> budgets;
+    for (const contract* terms : contracts) {
+        for (const host_grant& grant : terms->m_hosts) {
+            pool_budget& budget = budgets[grant.m_pool];
+            budget.m_min += grant.m_min;
+            budget.m_max += grant.m_max;
+            budget.m_survives = std::max(budget.m_survives, terms->m_survives);
+            budget.m_customers.push_back(terms->m_customer);
+        }
+    }
+    return budgets;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/fleet/wave_plan.cpp
@@ -0,0 +1,299 @@
+#include "fleet/wave_plan.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "contract/contract_parser.h"
+#include "core/json_fields.h"
+#include "core/result.h"
+#include "fleet/budget.h"
+
+namespace guavabay {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t canary_hosts = 1;
+constexpr std::uint32_t ramp_factor = 2;
+constexpr std::size_t max_wave_failures_listed = 10;
+
+const host_report* report_of(const fleet_view& fleet, const worker_id& id)
+{
+    const auto found = fleet.m_reports.find(id);
+    return found == fleet.m_reports.end() ? nullptr : &found->second;
+}
+
+host_change change_state(const fleet_host& host, host_state state, wall_time now,
+                         std::string reason)
+{
+    host_change change{host, std::move(reason)};
+    change.m_next.m_state = state;
+    change.m_next.m_changed_at = now;
+    return change;
+}
+
+/// What follows for a host that is draining: it joins another pool, or may be rebooted.
+std::optional<host_change> after_drain(const fleet_host& host, const host_report* report,
+                                       wall_time now)
+{
+    if (report == nullptr || (report->m_up && !report->m_empty)) {
+        return std::nullopt;
+    }
+    if (!host.m_target) {
+        return change_state(host, host_state::away, now, "empty, may be rebooted");
+    }
+    host_change change =
+        change_state(host, host_state::serving, now, "joins pool " + host.m_target->str());
+    change.m_next.m_pool = *host.m_target;
+    change.m_next.m_target.reset();
+    return change;
+}
+
+/// What follows for a host that is away: it is back, or has been away for too long.
+std::optional<host_change> after_absence(const fleet_host& host, const host_report* report,
+                                         const wave_record& wave, wall_time now)
+{
+    const bool back = report != nullptr && report->m_up && report->m_maintained >= wave.m_number;
+    if (back) {
+        host_change change = change_state(host, host_state::serving, now, "maintained");
+        change.m_next.m_maintained = report->m_maintained;
+        return change;
+    }
+    if (now - host.m_changed_at > wave.m_longest_absence) {
+        return change_state(host, host_state::failed, now, "did not come back");
+    }
+    return std::nullopt;
+}
+
+/// A failed host that the platform has brought back serves again.
+std::optional<host_change> after_failure(const fleet_host& host, const host_report* report,
+                                         const wave_record* wave, wall_time now)
+{
+    const bool back = report != nullptr && report->m_up &&
+                      (wave == nullptr || report->m_maintained >= wave->m_number);
+    if (!back) {
+        return std::nullopt;
+    }
+    host_change change = change_state(host, host_state::serving, now, "repaired");
+    change.m_next.m_maintained = std::max(host.m_maintained, report->m_maintained);
+    return change;
+}
+
+/// Hosts that may be out at one time: one at first, then twice as many as came back, as far as
+/// the budgets allow.
+std::uint32_t ramp_limit(const wave_progress& progress)
+{
+    return std::max(canary_hosts, progress.m_done * ramp_factor);
+}
+
+/// True when a host of a pool whose budget has room for it may leave now.
+bool may_leave(const fleet_view& fleet, const fleet_host& host)
+{
+    if (!is_in_service(fleet, host)) {
+        return true;
+    }
+    return keeps_budget(fleet, host.m_pool, {host.m_id});
+}
+
+/// The host to drain next: from the pool with the most room, in the fullest rack of it.
+const fleet_host* next_to_drain(const fleet_view& fleet, const wave_record& wave)
+{
+    const fleet_host* best = nullptr;
+    std::uint32_t best_room = 0;
+    std::map<pool_id, std::uint32_t> room;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        const bool due = host.m_state == host_state::serving && host.m_maintained < wave.m_number;
+        if (!due) {
+            continue;
+        }
+        const auto [it, added] = room.try_emplace(host.m_pool, 0);
+        if (added) {
+            it->second = spare_hosts(fleet, host.m_pool);
+        }
+        const bool better = best == nullptr || it->second > best_room;
+        if (better && may_leave(fleet, host)) {
+            best = &host;
+            best_room = it->second;
+        }
+    }
+    return best;
+}
+
+/// A host of the spare pool that takes the place of a failed one: in its zone if possible.
+std::optional<host_change> replace_failed(const fleet_view& fleet, const wave_record& wave,
+                                          wall_time now)
+{
+    std::map<pool_id, std::uint32_t> joining;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        if (host.m_target) {
+            ++joining[*host.m_target];
+        }
+    }
+    for (const auto& [pool, budget] : fleet.m_budgets) {
+        const pool_count count = count_pool(fleet, pool);
+        const std::uint32_t owed = budget.m_min + count.m_largest_domain;
+        std::uint32_t failed = 0;
+        for (const auto& [id, host] : fleet.m_hosts) {
+            failed += host.m_pool == pool && host.m_state == host_state::failed ? 1U : 0U;
+        }
+        if (failed == 0 || count.m_in_service + joining[pool] >= owed || pool == wave.m_spare) {
+            continue;
+        }
+        for (const auto& [id, host] : fleet.m_hosts) {
+            const bool spare =
+                host.m_pool == wave.m_spare && is_in_service(fleet, host) && !host.m_target;
+            if (!spare || !keeps_budget(fleet, wave.m_spare, {id})) {
+                continue;
+            }
+            host_change change = change_state(host, host_state::draining, now,
+                                              "replaces a failed host of pool " + pool.str());
+            change.m_next.m_target = pool;
+            return change;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<wave_record> parse_wave(const std::string& value)
+{
+    const std::optional<json::object> object = parse_json_object(value);
+    if (!object) {
+        return std::nullopt;
+    }
+    wave_record wave;
+    wave.m_number = wave_number(number_field(*object, "number"));
+    if (wave.m_number <= wave_number(0)) {
+        return fail("the wave has no number");
+    }
+    wave.m_paused = flag_field(*object, "paused");
+    wave.m_stopped = text_field(*object, "stopped");
+    wave.m_spare = pool_id(text_field(*object, "spare"));
+    wave.m_started_at = parse_wall_time(text_field(*object, "started_at")).value_or(wall_time{});
+    const std::int64_t absence = number_field(*object, "longest_absence_ms");
+    if (absence > 0) {
+        wave.m_longest_absence = milliseconds(absence);
+    }
+    const std::int64_t failures = number_field(*object, "failure_limit");
+    if (failures > 0) {
+        wave.m_failure_limit = static_cast<std::uint32_t>(failures);
+    }
+    return wave;
+}
+
+std::string format_wave(const wave_record& wave)
+{
+    return json::serialize(
+        json::object{{"number", wave.m_number.get()},
+                     {"paused", wave.m_paused},
+                     {"stopped", wave.m_stopped},
+                     {"spare", wave.m_spare.str()},
+                     {"started_at", format_wall_time(wave.m_started_at)},
+                     {"longest_absence_ms", wave.m_longest_absence.count()},
+                     {"failure_limit", static_cast<std::int64_t>(wave.m_failure_limit)}});
+}
+
+wave_progress measure_wave(const fleet_view& fleet, const wave_record& wave)
+{
+    wave_progress progress;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        ++progress.m_total;
+        const bool done = host.m_maintained >= wave.m_number;
+        const bool in_wave = host.m_changed_at >= wave.m_started_at && !done;
+        progress.m_done += done ? 1U : 0U;
+        const bool out = host.m_state == host_state::away ||
+                         (host.m_state == host_state::draining && !host.m_target);
+        progress.m_out += out && !done ? 1U : 0U;
+        progress.m_failed += in_wave && host.m_state == host_state::failed ? 1U : 0U;
+    }
+    return progress;
+}
+
+std::string stop_reason(const fleet_view& fleet, const wave_record& wave)
+{
+    const wave_progress progress = measure_wave(fleet, wave);
+    if (progress.m_failed < wave.m_failure_limit) {
+        return {};
+    }
+    std::string text = std::to_string(progress.m_failed) + " hosts did not come back:";
+    std::size_t listed = 0;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        if (host.m_state == host_state::failed && listed < max_wave_failures_listed) {
+            text += " " + id.str();
+            ++listed;
+        }
+    }
+    return text;
+}
+
+std::optional<host_change> plan_change(const fleet_view& fleet, const wave_record* wave,
+                                       wall_time now)
+{
+    for (const auto& [id, host] : fleet.m_hosts) {
+        const host_report* report = report_of(fleet, id);
+        std::optional<host_change> change;
+        if (host.m_state == host_state::draining) {
+            change = after_drain(host, report, now);
+        }
+        else if (host.m_state == host_state::away && wave != nullptr) {
+            change = after_absence(host, report, *wave, now);
+        }
+        else if (host.m_state == host_state::failed) {
+            change = after_failure(host, report, wave, now);
+        }
+        if (change) {
+            return change;
+        }
+    }
+    if (wave == nullptr) {
+        return std::nullopt;
+    }
+    std::optional<host_change> replacement = replace_failed(fleet, *wave, now);
+    if (replacement) {
+        return replacement;
+    }
+    const wave_progress progress = measure_wave(fleet, *wave);
+    const bool held = wave->m_paused || !wave->m_stopped.empty();
+    if (held || progress.m_out >= ramp_limit(progress)) {
+        return std::nullopt;
+    }
+    const fleet_host* next = next_to_drain(fleet, *wave);
+    if (next == nullptr) {
+        return std::nullopt;
+    }
+    return change_state(*next, host_state::draining, now, "drained for maintenance");
+}
+
+std::optional<host_change> plan_move(const fleet_view& fleet, const worker_id& host,
+                                     const pool_id& target, wall_time now)
+{
+    const auto found = fleet.m_hosts.find(host);
+    if (found == fleet.m_hosts.end()) {
+        return fail("there is no host " + host.str());
+    }
+    const fleet_host& moved = found->second;
+    if (moved.m_pool == target) {
+        return fail("host " + host.str() + " is in pool " + target.str() + " already");
+    }
+    if (moved.m_state != host_state::serving) {
+        return fail("host " + host.str() + " is " + to_string(moved.m_state));
+    }
+    const auto budget = fleet.m_budgets.find(target);
+    const pool_count joined = count_pool(fleet, target);
+    if (budget != fleet.m_budgets.end() && joined.m_in_service >= budget->second.m_max) {
+        return fail("pool " + target.str() + " holds the " + std::to_string(budget->second.m_max) +
+                    " hosts that its contracts allow");
+    }
+    if (!may_leave(fleet, moved)) {
+        const pool_budget& owed = fleet.m_budgets.at(moved.m_pool);
+        return fail("pool " + moved.m_pool.str() + " owes " + std::to_string(owed.m_min) +
+                    " hosts and the loss of its largest failure domain would break that");
+    }
+    host_change change = change_state(moved, host_state::draining, now, "moves to " + target.str());
+    change.m_next.m_target = target;
+    return change;
+}
+
+} // namespace guavabay
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "node/fleet_duties.h"
 #include "node/slot_client.h"
 
 namespace guavabay {
@@ -120,10 +121,12 @@
             changed = true;
             contracts_changed = contracts_changed || is_contract;
             endpoints_changed = endpoints_changed || record.m_key.starts_with(endpoint_prefix);
+            follow_fleet_record(node, record);
         }
     }
     if (contracts_changed) {
         node.m_view = make_config_view(node.m_config);
+        follow_contracts(node);
         out.m_view_changed = true;
         deny_ended_customers(node, wall, out);
         refuse_ended_in_brokers(node, out);
@@ -143,6 +146,7 @@
     merge_records(node, removed, now, wall, out);
     if (update.m_full) {
         node.m_sync.m_store_read = true;
+        node.m_full_reading = std::max(node.m_full_reading, update.m_revision);
     }
 }
 
--- a/src/node/departure_proof.cpp
+++ b/src/node/departure_proof.cpp
@@ -127,7 +127,7 @@
     body["proved"] = true;
     status.m_proof = json::serialize(body);
     status.m_proof_call =
-        call_store(node, store_swap{key, node.m_config.revision_of(key), status.m_proof, {}}, out);
+        call_store(node, make_swap(key, node.m_config.revision_of(key), status.m_proof), out);
     return false;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "node/config_sync.h"
+#include "node/fleet_duties.h"
 #include "node/membership_duties.h"
 #include "node/operator_work.h"
 #include "node/slot_client.h"
@@ -311,7 +312,9 @@
         if (result->m_outcome != store_outcome::unknown) {
             node.m_last_outside_contact = context.m_now;
         }
-        if (!on_lease_result(node, *result, context.m_now, context.m_out)) {
+        const bool taken = on_lease_result(node, *result, context.m_now, context.m_out) ||
+                           on_fleet_result(node, *result, context.m_now, context.m_out);
+        if (!taken) {
             on_operator_store_result(node, *result, context.m_now, context.m_wall, context.m_out);
         }
     }
@@ -453,6 +456,7 @@
     on_probe_tick(node, now, out);
     on_lease_tick(node, now, out);
     on_epoch_tick(node, now, out);
+    on_fleet_tick(node, now, wall, out);
     follow_epoch_record(context);
     deny_ended_customers(node, wall, out);
     on_slot_client_tick(node, now, out);
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -69,7 +69,21 @@
 using edge_answer = std::variant<slot_given, slot_denied, key_decided>;
 
 /// What an operator wants.
-enum class operator_verb : std::uint8_t { apply, end, get, list, status, proof, members };
+enum class operator_verb : std::uint8_t {
+    apply,
+    end,
+    get,
+    list,
+    status,
+    proof,
+    members,
+    fleet_status,
+    host_move,
+    wave_start,
+    wave_pause,
+    wave_resume,
+    wave_status,
+};
 
 /// A call of an operator.
 struct operator_request {
@@ -79,7 +93,9 @@
     std::string m_body;
     operation_id m_operation;
     std::string m_operator;
-    std::optional<revision> m_expected;  ///< The version that the operator read before.
+    std::optional<revision> m_expected; ///< The version that the operator read before.
+    std::string m_host;                 ///< Host of the fleet that a move is about.
+    bool m_dry_run = false;
     std::vector<host_id> m_assumed_gone; ///< Hosts that the operator knows to be gone.
 };
 
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -11,6 +11,7 @@
 #include "broker/slot_broker.h"
 #include "config/config_table.h"
 #include "config/config_view.h"
+#include "fleet/wave_plan.h"
 #include "ledger/key_ledger.h"
 #include "membership/member_table.h"
 #include "node/node_events.h"
@@ -85,6 +86,25 @@
     bool m_registered = false;
 };
 
+/// A change of the fleet that this process writes while it holds the duty.
+struct fleet_write {
+    config_record m_record; ///< The revision is the one that the record must still have.
+    std::string m_reason;
+    std::uint64_t m_operator_call = 0; ///< Operator who waits for it; zero for none.
+};
+
+/// The duty of moving and maintaining hosts, which one process has at a time.
+struct fleet_duty {
+    enum class stage : std::uint8_t { idle, taking, refreshing, ready };
+
+    stage m_stage = stage::idle;
+    revision m_fence;         ///< Revision of the duty's record while this process holds it.
+    std::uint64_t m_call = 0; ///< Number of the store call under way; zero when none is.
+    std::optional<fleet_write> m_write; ///< Stays until its outcome is known.
+    time_point m_next_try{};
+    bool m_changed = true; ///< The fleet changed since the last plan.
+};
+
 /// Requests and ends of a customer at this process, for the proof of departure.
 struct customer_trace {
     std::uint32_t m_waiting = 0;
@@ -109,6 +129,10 @@
     std::vector<pending_change> m_changes;
     std::vector<pending_status> m_statuses;
     key_ledger m_ledger;
+    fleet_view m_fleet;
+    std::optional<wave_record> m_wave;
+    fleet_duty m_fleet_duty;
+    revision m_full_reading; ///< Position of the history that the last full reading showed.
     sync_state m_sync;
     store_lease m_lease;
     time_point m_epoch_changed_since{}; ///< Since when another epoch is wanted.
--- a/src/node/operator_work.cpp
+++ b/src/node/operator_work.cpp
@@ -7,6 +7,7 @@
 #include "core/result.h"
 #include "node/config_sync.h"
 #include "node/departure_proof.h"
+#include "node/fleet_duties.h"
 #include "node/node.h"
 
 namespace guavabay {
@@ -72,7 +73,7 @@
     change.m_stage = pending_change::stage::writing;
     change.m_next_try = now + retry_interval;
     change.m_call = call_store(
-        node, store_swap{change.m_record.m_key, change.m_base, change.m_record.m_value, {}}, out);
+        node, make_swap(change.m_record.m_key, change.m_base, change.m_record.m_value), out);
 }
 
 /// True when a peer outside this process's zone, or any peer where there is no such peer, may
@@ -398,6 +399,14 @@
     case operator_verb::members:
         answer_members(node, request, now, out);
         break;
+    case operator_verb::fleet_status:
+    case operator_verb::host_move:
+    case operator_verb::wave_start:
+    case operator_verb::wave_pause:
+    case operator_verb::wave_resume:
+    case operator_verb::wave_status:
+        on_fleet_request(node, request, wall, out);
+        break;
     case operator_verb::status:
     case operator_verb::proof:
         if (find_contract(*node.m_view, request.m_customer) == nullptr) {
--- a/src/node/store_duties.cpp
+++ b/src/node/store_duties.cpp
@@ -82,8 +82,8 @@
     if (!lease.m_registered) {
         const std::string key = member_key(node.m_settings.m_self.m_host);
         lease.m_call = call_store(node,
-                                  store_swap{key, node.m_config.revision_of(key),
-                                             describe_self(node.m_settings.m_self), lease.m_lease},
+                                  make_swap(key, node.m_config.revision_of(key),
+                                            describe_self(node.m_settings.m_self), lease.m_lease),
                                   out);
         return;
     }
@@ -153,7 +153,7 @@
     next.m_members = desired;
     next.m_previous = node.m_ledger.m_epoch.m_members;
     const std::string key(epoch_key);
-    call_store(node, store_swap{key, node.m_config.revision_of(key), format_epoch(next), {}}, out);
+    call_store(node, make_swap(key, node.m_config.revision_of(key), format_epoch(next)), out);
     out.m_log.push_back(
         {log_level::info, "epoch: proposed number=" + std::to_string(next.m_number.get()) +
                               " members=" + std::to_string(next.m_members.size())});
--- a/src/platform/etcd_codec.cpp
+++ b/src/platform/etcd_codec.cpp
@@ -1,8 +1,8 @@
 #include "platform/etcd_codec.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 
+#include "core/json_fields.h"
 #include "core/result.h"
 #include "net/base64.h"
 
@@ -19,24 +19,6 @@
     return prefix;
 }
 
-/// A 64-bit number, which the gateway writes as a string; zero when absent.
-std::int64_t number_at(const json::object& object, std::string_view name)
-{
-    const json::value* value = object.if_contains({name.data(), name.size()});
-    if (value == nullptr) {
-        return 0;
-    }
-    if (value->is_int64()) {
-        return value->get_int64();
-    }
-    std::int64_t number = 0;
-    if (value->is_string()) {
-        const json::string& text = value->get_string();
-        std::from_chars(text.data(), text.data() + text.size(), number);
-    }
-    return number;
-}
-
 const json::object* object_at(const json::object& object, std::string_view name)
 {
     const json::value* value = object.if_contains({name.data(), name.size()});
@@ -58,16 +40,6 @@
     return from_base64({value->get_string().data(), value->get_string().size()});
 }
 
-std::optional<json::object> parse_object(std::string_view text)
-{
-    boost::system::error_code error;
-    json::value value = json::parse({text.data(), text.size()}, error);
-    if (error || !value.is_object()) {
-        return fail("the store's answer is not a JSON object");
-    }
-    return value.get_object();
-}
-
 /// Reads one key and value; empty when it lies outside the prefix.
 std::optional<config_record> read_record(const json::object& object, const std::string& prefix)
 {
@@ -76,10 +48,18 @@
     if (!key || !value || !key->starts_with(prefix)) {
         return fail("a record of the store is malformed");
     }
-    return config_record{key->substr(prefix.size()), revision(number_at(object, "mod_revision")),
+    return config_record{key->substr(prefix.size()), revision(number_field(object, "mod_revision")),
                          *value};
 }
 
+json::object encode_comparison(const std::string& key, revision expected)
+{
+    return {{"key", key},
+            {"target", "MOD"},
+            {"result", "EQUAL"},
+            {"mod_revision", std::to_string(expected.get())}};
+}
+
 std::string encode_swap(const store_swap& swap, const std::string& prefix)
 {
     const std::string key = to_base64(prefix + swap.m_key);
@@ -87,12 +67,14 @@
     if (swap.m_lease != lease_id{}) {
         put["lease"] = std::to_string(swap.m_lease.get());
     }
-    const json::object compare{{"key", key},
-                               {"target", "MOD"},
-                               {"result", "EQUAL"},
-                               {"mod_revision", std::to_string(swap.m_expected.get())}};
+    json::array compares;
+    compares.emplace_back(encode_comparison(key, swap.m_expected));
+    if (!swap.m_guard_key.empty()) {
+        compares.emplace_back(
+            encode_comparison(to_base64(prefix + swap.m_guard_key), swap.m_guard_revision));
+    }
     const json::object body{
-        {"compare", json::array{compare}},
+        {"compare", std::move(compares)},
         {"success", json::array{json::object{{"request_put", put}}}},
         {"failure", json::array{json::object{{"request_range", json::object{{"key", key}}}}}}};
     return json::serialize(body);
@@ -117,7 +99,7 @@
     }
     if (succeeded != nullptr && succeeded->is_bool() && succeeded->get_bool()) {
         result.m_outcome = store_outcome::done;
-        result.m_record = {swap.m_key, revision(number_at(*header, "revision")), swap.m_value};
+        result.m_record = {swap.m_key, revision(number_field(*header, "revision")), swap.m_value};
         return;
     }
     const json::array* responses = array_at(answer, "responses");
@@ -135,8 +117,8 @@
 
 void decode_lease(const json::object& answer, const char* name, store_result& result)
 {
-    const std::int64_t lifetime = number_at(answer, "TTL");
-    result.m_lease = lease_id(number_at(answer, name));
+    const std::int64_t lifetime = number_field(answer, "TTL");
+    result.m_lease = lease_id(number_field(answer, name));
     result.m_outcome = lifetime > 0 ? store_outcome::done : store_outcome::refused;
 }
 
@@ -170,7 +152,7 @@
 {
     store_result result;
     result.m_number = call.m_number;
-    const std::optional<json::object> answer = parse_object(body);
+    const std::optional<json::object> answer = parse_json_object(body);
     if (!answer) {
         return result;
     }
@@ -219,7 +201,7 @@
 
 std::optional<store_update> decode_range(std::string_view body, const std::string& prefix)
 {
-    const std::optional<json::object> answer = parse_object(body);
+    const std::optional<json::object> answer = parse_json_object(body);
     if (!answer) {
         return std::nullopt;
     }
@@ -229,7 +211,7 @@
     }
     store_update update;
     update.m_full = true;
-    update.m_revision = revision(number_at(*header, "revision"));
+    update.m_revision = revision(number_field(*header, "revision"));
     const json::array* records = array_at(*answer, "kvs");
     if (records == nullptr) {
         return update;
@@ -257,7 +239,7 @@
 
 std::optional<store_update> decode_watch_line(std::string_view line, const std::string& prefix)
 {
-    const std::optional<json::object> answer = parse_object(line);
+    const std::optional<json::object> answer = parse_json_object(line);
     if (!answer) {
         return std::nullopt;
     }
@@ -267,7 +249,7 @@
         return fail("the store ended the watch");
     }
     store_update update;
-    update.m_revision = revision(number_at(*header, "revision"));
+    update.m_revision = revision(number_field(*header, "revision"));
     const json::array* events = array_at(*result, "events");
     if (events == nullptr) {
         return update;
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -23,9 +24,18 @@
     std::string m_key;
     revision m_expected;
     std::string m_value;
-    lease_id m_lease; ///< Zero for a record that outlives its writer.
+    lease_id m_lease;          ///< Zero for a record that outlives its writer.
+    std::string m_guard_key;   ///< A second record that must be unchanged; empty for none.
+    revision m_guard_revision; ///< Revision that the second record must have.
 };
 
+/// A swap without a second record.
+inline store_swap make_swap(std::string key, revision expected, std::string value,
+                            lease_id lease = {})
+{
+    return {std::move(key), expected, std::move(value), lease, {}, {}};
+}
+
 /// Grants a lease.
 struct store_grant_lease {
     std::int64_t m_seconds = 0;
--- a/standins/caller_role.cpp
+++ b/standins/caller_role.cpp
@@ -96,7 +96,7 @@
             request.set("Idempotency-Key", key);
         }
         if (post) {
-            request.body() = "body-of-" + id;
+            request.body() = "body-of-" + (key.empty() ? id : key);
         }
         request.prepare_payload();
         return request;
--- a/standins/checker.cpp
+++ b/standins/checker.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <sstream>
 
+#include "core/json_fields.h"
+
 namespace standins {
 
 namespace json = boost::json;
@@ -14,25 +16,6 @@
 
 constexpr std::size_t max_printed = 20;
 
-std::string text_at(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->get_string().c_str())
-                                                  : std::string();
-}
-
-std::int64_t number_at(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value != nullptr && value->is_int64() ? value->get_int64() : 0;
-}
-
-bool flag_at(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value != nullptr && value->is_bool() && value->get_bool();
-}
-
 std::vector<std::string> split(const std::string& text)
 {
     std::vector<std::string> parts;
@@ -103,9 +86,10 @@
     while (std::getline(stream, line)) {
         const json::value value = json::parse(line);
         const json::object& object = value.as_object();
-        runs.push_back({text_at(object, "id"), text_at(object, "endpoint"),
-                        number_at(object, "start_ms"), flag_at(object, "idempotent"),
-                        number_at(object, "leaving_since_ms")});
+        runs.push_back(
+            {guavabay::text_field(object, "id"), guavabay::text_field(object, "endpoint"),
+             guavabay::number_field(object, "start_ms"), guavabay::flag_field(object, "idempotent"),
+             guavabay::number_field(object, "leaving_since_ms")});
     }
     return runs;
 }
@@ -117,9 +101,11 @@
     while (std::getline(stream, line)) {
         const json::value value = json::parse(line);
         const json::object& object = value.as_object();
-        told.push_back({text_at(object, "id"), static_cast<int>(number_at(object, "status")),
-                        text_at(object, "ran"), flag_at(object, "own"),
-                        flag_at(object, "by_endpoint"), text_at(object, "key")});
+        told.push_back({guavabay::text_field(object, "id"),
+                        static_cast<int>(guavabay::number_field(object, "status")),
+                        guavabay::text_field(object, "ran"), guavabay::flag_field(object, "own"),
+                        guavabay::flag_field(object, "by_endpoint"),
+                        guavabay::text_field(object, "key")});
     }
     return told;
 }
--- a/standins/store_table.cpp
+++ b/standins/store_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/json_fields.h"
 #include "net/base64.h"
 
 namespace standins {
@@ -10,25 +11,9 @@
 
 namespace {
 
-std::string text_at(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value != nullptr && value->is_string() ? std::string(value->get_string().c_str())
-                                                  : std::string();
-}
-
-std::int64_t number_at(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    if (value == nullptr) {
-        return 0;
-    }
-    return value->is_int64() ? value->get_int64() : std::stoll("0" + text_at(object, name));
-}
-
 std::string bytes_at(const json::object& object, const char* name)
 {
-    return guavabay::from_base64(text_at(object, name)).value_or("");
+    return guavabay::from_base64(guavabay::text_field(object, name)).value_or("");
 }
 
 bool within(const std::string& key, const std::string& first, const std::string& end)
@@ -66,12 +51,12 @@
             found.emplace_back(key, one);
         }
     }
-    if (text_at(request, "sort_target") == "MOD") {
+    if (guavabay::text_field(request, "sort_target") == "MOD") {
         std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
             return left.second.m_modified > right.second.m_modified;
         });
     }
-    const auto limit = static_cast<std::size_t>(number_at(request, "limit"));
+    const auto limit = static_cast<std::size_t>(guavabay::number_field(request, "limit"));
     const std::size_t total = found.size();
     if (limit > 0 && found.size() > limit) {
         found.resize(limit);
@@ -92,7 +77,7 @@
     one.m_created = one.m_created == 0 ? m_revision : one.m_created;
     one.m_modified = m_revision;
     ++one.m_version;
-    one.m_lease = number_at(request, "lease");
+    one.m_lease = guavabay::number_field(request, "lease");
     m_changes.push_back({m_revision, key, {{"kv", describe(key, one, true)}}});
 }
 
@@ -109,14 +94,14 @@
         const json::object& compare = entry.as_object();
         const auto found = m_records.find(bytes_at(compare, "key"));
         const std::int64_t modified = found == m_records.end() ? 0 : found->second.m_modified;
-        holds = holds && modified == number_at(compare, "mod_revision");
+        holds = holds && modified == guavabay::number_field(compare, "mod_revision");
     }
     json::array responses;
     for (const json::value& entry : request.at(holds ? "success" : "failure").as_array()) {
         const json::object& operation = entry.as_object();
         if (const json::value* put_request = operation.if_contains("request_put")) {
             const json::object& wanted = put_request->as_object();
-            const std::int64_t lease_id = number_at(wanted, "lease");
+            const std::int64_t lease_id = guavabay::number_field(wanted, "lease");
             if (lease_id != 0 && !m_leases.contains(lease_id)) {
                 return {{"error", "requested lease not found"}, {"code", 5}};
             }
@@ -137,7 +122,7 @@
 
 json::object store_table::grant(const json::object& request, std::int64_t now_ms)
 {
-    const std::int64_t lifetime = number_at(request, "TTL") * 1000;
+    const std::int64_t lifetime = guavabay::number_field(request, "TTL") * 1000;
     const std::int64_t id = m_next_lease++;
     m_leases[id] = {lifetime, now_ms + lifetime};
     return {
@@ -146,7 +131,7 @@
 
 json::object store_table::keep(const json::object& request, std::int64_t now_ms)
 {
-    const std::int64_t id = number_at(request, "ID");
+    const std::int64_t id = guavabay::number_field(request, "ID");
     const auto found = m_leases.find(id);
     json::object result{{"header", header()}, {"ID", std::to_string(id)}};
     if (found != m_leases.end()) {
@@ -158,7 +143,7 @@
 
 json::object store_table::revoke(const json::object& request)
 {
-    remove_lease(number_at(request, "ID"));
+    remove_lease(guavabay::number_field(request, "ID"));
     return {{"header", header()}};
 }
 
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -19,7 +19,9 @@
             --m_drop_calls;
             return result;
         }
-        const bool holds = get(swap->m_key).m_revision == swap->m_expected;
+        const bool guarded = swap->m_guard_key.empty() ||
+                             get(swap->m_guard_key).m_revision == swap->m_guard_revision;
+        const bool holds = guarded && get(swap->m_key).m_revision == swap->m_expected;
         result.m_outcome = holds ? store_outcome::done : store_outcome::refused;
         if (holds) {
             put(swap->m_key, swap->m_value);
--- a/tests/support/virtual_hosts.cpp
+++ b/tests/support/virtual_hosts.cpp
@@ -276,6 +276,20 @@
     return request.m_number;
 }
 
+std::uint64_t virtual_hosts::fleet_call(const std::string& name, operator_verb verb,
+                                        const std::string& body, const std::string& machine,
+                                        bool dry_run)
+{
+    operator_request request;
+    request.m_number = m_next_call++;
+    request.m_verb = verb;
+    request.m_body = body;
+    request.m_host = machine;
+    request.m_dry_run = dry_run;
+    send_event(name, request);
+    return request.m_number;
+}
+
 const operator_answer* virtual_hosts::answer(std::uint64_t number) const
 {
     const auto found = m_answers.find(number);
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -53,6 +53,10 @@
     /// Asks a host for the status or the proof of a customer.
     std::uint64_t ask(const std::string& host, operator_verb verb, const std::string& customer);
 
+    /// Sends a call about the fleet to a host.
+    std::uint64_t fleet_call(const std::string& host, operator_verb verb, const std::string& body,
+                             const std::string& machine, bool dry_run);
+
     /// The answer to an operator's call; null while there is none.
     [[nodiscard]] const operator_answer* answer(std::uint64_t number) const;
 
