Replay recorded traces through slots, waves, moves and tasks; place tasks

Found by replay, each with its cause: - urgent tasks waited 15.1 s: several urgent tasks counted on the same room that was being made; room is now promised to one.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 
 #include "app/contract_command.h"
 #include "app/exit_status.h"
+#include "app/replay_command.h"
 #include "app/serve.h"
 #include "app/version.h"
 
@@ -13,6 +14,7 @@
                               "  serve      runs an entry host's process\n"
                               "  contract   check, apply, get, list, end, proof\n"
                               "  status     shows entry hosts and what is in force on them\n"
+                              "  replay     replays recorded traces through the decisions\n"
                               "Each command explains itself with --help.\n";
 
 } // namespace
@@ -43,6 +45,9 @@
     if (command == "status") {
         return guavabay::run_status(rest);
     }
+    if (command == "replay") {
+        return guavabay::run_replay(rest);
+    }
     std::cerr << "guavabay: unknown command " << command << "\n" << usage;
     return guavabay::exit_usage;
 }
--- /dev/null
+++ b/src/fleet/pool_plan.cpp
@@ -0,0 +1,141 @@
+#include "fleet/pool_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/budget.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr std::chrono::duration<double> forecast_memory = std::chrono::minutes(5);
+constexpr double error_factor = 2; ///< Deviations above the mean that a pool is sized for.
+constexpr std::chrono::minutes shortest_hold{2};
+constexpr std::chrono::hours longest_hold{24};
+
+/// How long a host must have been surplus before its idleness has cost as much as a move.
+duration hold_time(const policy_weights& weights)
+{
+    const double hours = weights.m_move / weights.m_buffer;
+    const auto wanted = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::ratio<3600>>(hours));
+    return std::clamp<duration>(wanted, shortest_hold, longest_hold);
+}
+
+/// A host of one pool that may leave for another: from the pool's largest rack.
+std::optional<host_change> move_one(const fleet_view& fleet, const pool_id& from, const pool_id& to,
+                                    wall_time wall)
+{
+    std::map<std::pair<zone_id, rack_id>, std::uint32_t> racks;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        if (host.m_pool == from && is_in_service(fleet, host)) {
+            ++racks[{host.m_zone, host.m_rack}];
+        }
+    }
+    const fleet_host* best = nullptr;
+    std::uint32_t best_size = 0;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        if (host.m_pool != from || !is_in_service(fleet, host) || host.m_target) {
+            continue;
+        }
+        const std::uint32_t size = racks[{host.m_zone, host.m_rack}];
+        if (size > best_size) {
+            best = &host;
+            best_size = size;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return plan_move(fleet, best->m_id, to, wall);
+}
+
+/// Hosts that are on their way into a pool.
+std::uint32_t joining(const fleet_view& fleet, const pool_id& pool)
+{
+    std::uint32_t count = 0;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        count += host.m_target == pool ? 1U : 0U;
+    }
+    return count;
+}
+
+} // namespace
+
+void observe_demand(demand_forecasts& forecasts, const pool_id& pool, double hosts, time_point now)
+{
+    demand_forecast& forecast = forecasts[pool];
+    if (forecast.m_window_count == 0) {
+        forecast.m_window_began = now;
+    }
+    forecast.m_window_sum += hosts;
+    ++forecast.m_window_count;
+    const duration passed = now - forecast.m_window_began;
+    if (passed < shortest_hold) {
+        return;
+    }
+    const double average = forecast.m_window_sum / forecast.m_window_count;
+    forecast.m_window_sum = 0;
+    forecast.m_window_count = 0;
+    if (!forecast.m_known) {
+        forecast.m_known = true;
+        forecast.m_mean = average;
+        return;
+    }
+    const double weight = 1 - std::exp(-std::chrono::duration<double>(passed) / forecast_memory);
+    const double distance = std::abs(average - forecast.m_mean);
+    forecast.m_mean += weight * (average - forecast.m_mean);
+    forecast.m_deviation += weight * (distance - forecast.m_deviation);
+}
+
+std::uint32_t needed_hosts(const fleet_view& fleet, const pool_id& pool,
+                           const demand_forecast& forecast)
+{
+    const auto budget = fleet.m_budgets.find(pool);
+    const pool_count count = count_pool(fleet, pool);
+    const double wanted = forecast.m_mean + error_factor * forecast.m_deviation;
+    std::uint32_t needed = static_cast<std::uint32_t>(std::ceil(wanted)) + count.m_largest_domain;
+    if (budget != fleet.m_budgets.end()) {
+        needed = std::max(needed, budget->second.m_min + count.m_largest_domain);
+        needed = std::min(needed, budget->second.m_max);
+    }
+    return needed;
+}
+
+std::optional<host_change> plan_rebalance(const fleet_view& fleet, demand_forecasts& forecasts,
+                                          const pool_id& spare, const policy_weights& weights,
+                                          time_point now, wall_time wall)
+{
+    for (auto& [pool, forecast] : forecasts) {
+        if (pool == spare) {
+            continue;
+        }
+        const std::uint32_t needed = needed_hosts(fleet, pool, forecast);
+        const std::uint32_t held = count_pool(fleet, pool).m_in_service + joining(fleet, pool);
+        const bool is_short = held < needed;
+        const bool has_surplus = held > needed + 1;
+        forecast.m_short_since = !is_short                                ? time_point{}
+                                 : forecast.m_short_since == time_point{} ? now
+                                                                          : forecast.m_short_since;
+        forecast.m_surplus_since = !has_surplus ? time_point{}
+                                   : forecast.m_surplus_since == time_point{}
+                                       ? now
+                                       : forecast.m_surplus_since;
+        if (is_short && now - forecast.m_short_since >= shortest_hold) {
+            std::optional<host_change> change = move_one(fleet, spare, pool, wall);
+            if (change) {
+                return change;
+            }
+        }
+        if (has_surplus && now - forecast.m_surplus_since >= hold_time(weights)) {
+            std::optional<host_change> change = move_one(fleet, pool, spare, wall);
+            if (change) {
+                return change;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/fleet/task_board.cpp
@@ -0,0 +1,492 @@
+#include "fleet/task_board.h"
+
+#include <algorithm>
+
+#include "core/check.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr std::size_t tasks_to_blame_worker = 3;
+constexpr std::size_t workers_to_blame_task = 3; ///< Workers that are not quarantined.
+constexpr std::size_t most_workers_tried = 8;
+constexpr seconds first_quarantine{60};
+constexpr std::uint32_t longest_quarantine_doublings = 6;
+
+bool is_final(task_state state)
+{
+    return state == task_state::done || state == task_state::cancelled ||
+           state == task_state::refused;
+}
+
+bool holds_worker(task_state state)
+{
+    return state == task_state::starting || state == task_state::running ||
+           state == task_state::checkpointing;
+}
+
+bool is_quarantined(const worker_state& worker, time_point now)
+{
+    return now < worker.m_quarantined_until;
+}
+
+void unindex(task_board& board, const worker_state& worker)
+{
+    board.m_by_free[worker.m_pool].erase({worker.m_free.m_cpu_millis, worker.m_id});
+}
+
+void index(task_board& board, const worker_state& worker)
+{
+    if (worker.m_accepting) {
+        board.m_by_free[worker.m_pool].insert({worker.m_free.m_cpu_millis, worker.m_id});
+    }
+}
+
+void enqueue(task_board& board, const task& one)
+{
+    auto& queue = one.m_urgent ? board.m_urgent[one.m_pool] : board.m_normal[one.m_pool];
+    queue.push_back(one.m_id);
+}
+
+/// Tasks that wait for a customer's quota get their turn again.
+void unblock(task_board& board, const customer_id& customer)
+{
+    const auto found = board.m_blocked.find(customer);
+    if (found == board.m_blocked.end()) {
+        return;
+    }
+    for (const task_id& id : found->second) {
+        enqueue(board, board.m_tasks.at(id));
+    }
+    board.m_blocked.erase(found);
+}
+
+/// Gives back what a task holds of its worker and quota.
+void release(task_board& board, task& one)
+{
+    if (!holds_worker(one.m_state)) {
+        return;
+    }
+    const auto found = board.m_workers.find(one.m_worker);
+    if (found != board.m_workers.end()) {
+        worker_state& worker = found->second;
+        unindex(board, worker);
+        worker.m_free = worker.m_free + one.m_reserved;
+        worker.m_tasks.erase(one.m_id);
+        index(board, worker);
+    }
+    quota_use& use = board.m_uses[one.m_customer];
+    check(use.m_running > 0, "a task that holds a worker counts in its quota");
+    --use.m_running;
+    use.m_reserved = use.m_reserved - one.m_reserved;
+    one.m_worker = {};
+    unblock(board, one.m_customer);
+}
+
+void wait_again(task_board& board, task& one, std::string reason)
+{
+    release(board, one);
+    one.m_state = task_state::waiting;
+    one.m_reason = std::move(reason);
+    enqueue(board, one);
+}
+
+void refuse(task_board& board, task& one, std::string reason)
+{
+    release(board, one);
+    one.m_state = task_state::refused;
+    one.m_reason = std::move(reason);
+}
+
+resources quota_of(const task_grant& grant)
+{
+    return {static_cast<std::int64_t>(grant.m_cpu_millis),
+            static_cast<std::int64_t>(grant.m_memory_mb),
+            static_cast<std::int64_t>(grant.m_accelerators)};
+}
+
+/// Why a task can never run; empty when it can.
+std::string impossible_because(const task_board& board, const task& one)
+{
+    const auto quota = board.m_quotas.find(one.m_customer);
+    if (quota == board.m_quotas.end() || quota->second.m_running == 0) {
+        return "the contract grants no tasks";
+    }
+    if (!fits(one.m_declared, quota_of(quota->second))) {
+        return "it needs more than the whole quota of the contract";
+    }
+    bool pool_exists = false;
+    resources largest;
+    for (const auto& [id, worker] : board.m_workers) {
+        if (worker.m_pool != one.m_pool) {
+            continue;
+        }
+        pool_exists = true;
+        if (fits(one.m_declared, worker.m_capacity)) {
+            return {};
+        }
+        largest.m_cpu_millis = std::max(largest.m_cpu_millis, worker.m_capacity.m_cpu_millis);
+        largest.m_memory_mb = std::max(largest.m_memory_mb, worker.m_capacity.m_memory_mb);
+        largest.m_accelerators = std::max(largest.m_accelerators, worker.m_capacity.m_accelerators);
+    }
+    if (!pool_exists) {
+        return "pool " + one.m_pool.str() + " has no workers";
+    }
+    if (one.m_declared.m_accelerators > largest.m_accelerators) {
+        return "no worker of the pool has that many accelerators";
+    }
+    if (one.m_declared.m_memory_mb > largest.m_memory_mb) {
+        return "no worker of the pool has that much memory";
+    }
+    if (one.m_declared.m_cpu_millis > largest.m_cpu_millis) {
+        return "no worker of the pool has that many cores";
+    }
+    return "no single worker of the pool has all of it";
+}
+
+bool within_quota(const task_board& board, const task& one, const resources& reserved)
+{
+    const task_grant& quota = board.m_quotas.at(one.m_customer);
+    const auto found = board.m_uses.find(one.m_customer);
+    const quota_use use = found == board.m_uses.end() ? quota_use{} : found->second;
+    return use.m_running < quota.m_running && fits(use.m_reserved + reserved, quota_of(quota));
+}
+
+/// The worker with the fewest free cores that still takes the task.
+worker_state* find_worker(task_board& board, const task& one, const resources& reserved,
+                          time_point now)
+{
+    auto& by_free = board.m_by_free[one.m_pool];
+    for (auto it = by_free.lower_bound({reserved.m_cpu_millis, worker_id()}); it != by_free.end();
+         ++it) {
+        worker_state& worker = board.m_workers.at(it->second);
+        const bool tried = one.m_failed_on.contains(worker.m_id);
+        if (!tried && !is_quarantined(worker, now) && fits(reserved, worker.m_free)) {
+            return &worker;
+        }
+    }
+    return nullptr;
+}
+
+void start(task_board& board, task& one, worker_state& worker, const resources& reserved,
+           time_point now, std::vector<task_order>& orders)
+{
+    unindex(board, worker);
+    worker.m_free = worker.m_free - reserved;
+    worker.m_tasks.insert(one.m_id);
+    index(board, worker);
+    quota_use& use = board.m_uses[one.m_customer];
+    ++use.m_running;
+    use.m_reserved = use.m_reserved + reserved;
+    one.m_state = task_state::starting;
+    one.m_reason.clear();
+    one.m_worker = worker.m_id;
+    one.m_reserved = reserved;
+    one.m_started = now;
+    ++one.m_attempt;
+    orders.push_back({task_order::verb::start, one.m_id, worker.m_id, one.m_attempt});
+}
+
+/// Room that is being made on workers for urgent tasks ahead in the queue.
+using promised_room = std::map<worker_id, resources>;
+
+/// Makes room for an urgent task by saving the tasks of one worker that are not urgent, the
+/// youngest first. True when room is on its way.
+bool preempt_for(task_board& board, const task& urgent, const resources& reserved, time_point now,
+                 promised_room& promised, std::vector<task_order>& orders)
+{
+    for (auto& [id, worker] : board.m_workers) {
+        const bool suits = worker.m_pool == urgent.m_pool && worker.m_accepting &&
+                           !is_quarantined(worker, now) && !urgent.m_failed_on.contains(id) &&
+                           fits(reserved, worker.m_capacity);
+        if (!suits) {
+            continue;
+        }
+        std::vector<task*> victims;
+        resources freed = worker.m_free - promised[id];
+        for (const task_id& task_of_worker : worker.m_tasks) {
+            task& candidate = board.m_tasks.at(task_of_worker);
+            if (candidate.m_state == task_state::checkpointing) {
+                freed = freed + candidate.m_reserved;
+            }
+            else if (!candidate.m_urgent && candidate.m_state == task_state::running) {
+                victims.push_back(&candidate);
+            }
+        }
+        std::sort(victims.begin(), victims.end(), [](const task* left, const task* right) {
+            return left->m_started > right->m_started;
+        });
+        std::size_t used = 0;
+        while (!fits(reserved, freed) && used < victims.size()) {
+            freed = freed + victims[used++]->m_reserved;
+        }
+        if (!fits(reserved, freed)) {
+            continue;
+        }
+        for (std::size_t i = 0; i < used; ++i) {
+            victims[i]->m_state = task_state::checkpointing;
+            victims[i]->m_reason = "makes room for urgent task " + urgent.m_id.str();
+            orders.push_back(
+                {task_order::verb::checkpoint, victims[i]->m_id, id, victims[i]->m_attempt});
+        }
+        promised[id] = promised[id] + reserved;
+        return true;
+    }
+    return false;
+}
+
+/// Tries to start the tasks of one queue in order. A task that does not fit now keeps its place.
+void place_queue(task_board& board, std::deque<task_id>& queue, bool urgent, time_point now,
+                 std::vector<task_order>& orders)
+{
+    std::deque<task_id> remaining;
+    std::optional<resources> smallest_misfit;
+    promised_room promised;
+    while (!queue.empty()) {
+        const task_id id = queue.front();
+        queue.pop_front();
+        task& one = board.m_tasks.at(id);
+        if (one.m_state != task_state::waiting) {
+            continue;
+        }
+        const resources reserved =
+            board.m_usage.reserve_for(one.m_customer, one.m_kind, one.m_declared);
+        if (!within_quota(board, one, reserved)) {
+            one.m_reason = "the quota of the contract is used up";
+            board.m_blocked[one.m_customer].insert(id);
+            continue;
+        }
+        const bool hopeless = smallest_misfit && fits(*smallest_misfit, reserved);
+        worker_state* worker = hopeless ? nullptr : find_worker(board, one, reserved, now);
+        if (worker != nullptr) {
+            start(board, one, *worker, reserved, now, orders);
+            continue;
+        }
+        one.m_reason = "no worker of the pool has room now";
+        if (!hopeless && one.m_failed_on.empty()) {
+            smallest_misfit = reserved;
+        }
+        if (urgent && preempt_for(board, one, reserved, now, promised, orders)) {
+            one.m_reason = "room is being made by saving other tasks";
+        }
+        remaining.push_back(id);
+    }
+    queue = std::move(remaining);
+}
+
+/// The task when the report belongs to its present attempt; null otherwise.
+task* current(task_board& board, const task_id& id, std::uint64_t attempt)
+{
+    const auto found = board.m_tasks.find(id);
+    const bool matches = found != board.m_tasks.end() && found->second.m_attempt == attempt &&
+                         holds_worker(found->second.m_state);
+    return matches ? &found->second : nullptr;
+}
+
+/// Workers on which a task failed and which are not held to be at fault themselves.
+std::size_t failures_on_sound_workers(const task_board& board, const task& one, time_point now)
+{
+    std::size_t count = 0;
+    for (const worker_id& id : one.m_failed_on) {
+        const auto worker = board.m_workers.find(id);
+        count += worker != board.m_workers.end() && !is_quarantined(worker->second, now) ? 1U : 0U;
+    }
+    return count;
+}
+
+/// Keeps a worker out of use, longer each time.
+void quarantine(worker_state& worker, time_point now)
+{
+    const std::uint32_t doublings = std::min(worker.m_quarantines, longest_quarantine_doublings);
+    worker.m_quarantined_until = now + first_quarantine * (1 << doublings);
+    ++worker.m_quarantines;
+    worker.m_blamed_by.clear();
+}
+
+/// Keeps a worker out of use on which several tasks failed whose like ends well elsewhere. A
+/// failure of a kind that has never ended well says nothing about the worker.
+void judge_worker(const task_board& board, worker_state& worker, time_point now)
+{
+    std::size_t telling = 0;
+    for (const auto& [id, kind] : worker.m_blamed_by) {
+        telling += board.m_usage.has_succeeded(kind.first, kind.second) ? 1U : 0U;
+    }
+    if (telling >= tasks_to_blame_worker) {
+        quarantine(worker, now);
+    }
+}
+
+} // namespace
+
+void put_worker(task_board& board, const worker_id& id, const pool_id& pool,
+                const resources& capacity, bool accepting)
+{
+    const auto [it, added] = board.m_workers.try_emplace(id);
+    worker_state& worker = it->second;
+    if (!added) {
+        unindex(board, worker);
+    }
+    worker.m_id = id;
+    worker.m_pool = pool;
+    worker.m_free = worker.m_free + (capacity - worker.m_capacity);
+    worker.m_capacity = capacity;
+    worker.m_accepting = accepting;
+    index(board, worker);
+}
+
+void submit_task(task_board& board, task wanted, time_point now)
+{
+    const task_id id = wanted.m_id;
+    if (board.m_tasks.contains(id)) {
+        return;
+    }
+    wanted.m_submitted = now;
+    task& one = board.m_tasks.emplace(id, std::move(wanted)).first->second;
+    std::string reason = impossible_because(board, one);
+    if (!reason.empty()) {
+        refuse(board, one, std::move(reason));
+        return;
+    }
+    enqueue(board, one);
+}
+
+void cancel_task(task_board& board, const task_id& id, std::vector<task_order>& orders)
+{
+    const auto found = board.m_tasks.find(id);
+    if (found == board.m_tasks.end() || is_final(found->second.m_state)) {
+        return;
+    }
+    task& one = found->second;
+    if (holds_worker(one.m_state)) {
+        orders.push_back({task_order::verb::stop, id, one.m_worker, one.m_attempt});
+    }
+    release(board, one);
+    const auto blocked = board.m_blocked.find(one.m_customer);
+    if (blocked != board.m_blocked.end()) {
+        blocked->second.erase(id);
+    }
+    one.m_state = task_state::cancelled;
+    one.m_reason = "cancelled";
+}
+
+void place_tasks(task_board& board, time_point now, std::vector<task_order>& orders)
+{
+    for (auto& [pool, queue] : board.m_urgent) {
+        place_queue(board, queue, true, now, orders);
+    }
+    for (auto& [pool, queue] : board.m_normal) {
+        if (board.m_urgent[pool].empty()) {
+            place_queue(board, queue, false, now, orders);
+        }
+    }
+}
+
+void on_task_started(task_board& board, const task_id& id, std::uint64_t attempt,
+                     std::vector<task_order>& orders)
+{
+    task* one = current(board, id, attempt);
+    if (one != nullptr && one->m_state == task_state::starting) {
+        one->m_state = task_state::running;
+    }
+    const auto found = board.m_tasks.find(id);
+    if (one == nullptr && found != board.m_tasks.end()) {
+        orders.push_back({task_order::verb::stop, id, found->second.m_worker, attempt});
+    }
+}
+
+void on_task_checkpointed(task_board& board, const task_id& id, std::uint64_t attempt)
+{
+    task* one = current(board, id, attempt);
+    if (one != nullptr && one->m_state == task_state::checkpointing) {
+        wait_again(board, *one, "saved, waits for room");
+    }
+}
+
+void on_task_done(task_board& board, const task_id& id, std::uint64_t attempt,
+                  const resources& used, time_point now)
+{
+    task* one = current(board, id, attempt);
+    if (one == nullptr) {
+        return;
+    }
+    const bool first_success = !board.m_usage.has_succeeded(one->m_customer, one->m_kind);
+    board.m_usage.observe(one->m_customer, one->m_kind, one->m_declared, used);
+    const auto worker = board.m_workers.find(one->m_worker);
+    if (worker != board.m_workers.end()) {
+        worker->second.m_blamed_by.clear();
+        worker->second.m_quarantines = 0;
+    }
+    if (first_success) {
+        for (auto& [other, suspect] : board.m_workers) {
+            judge_worker(board, suspect, now);
+        }
+    }
+    release(board, *one);
+    one->m_state = task_state::done;
+    one->m_reason = "done";
+}
+
+void on_task_failed(task_board& board, const task_id& id, std::uint64_t attempt, time_point now)
+{
+    task* one = current(board, id, attempt);
+    if (one == nullptr) {
+        return;
+    }
+    const worker_id place = one->m_worker;
+    one->m_failed_on.insert(place);
+    const auto worker = board.m_workers.find(place);
+    wait_again(board, *one, "failed on " + place.str());
+    if (worker != board.m_workers.end() && !is_quarantined(worker->second, now)) {
+        worker->second.m_blamed_by[id] = {one->m_customer, one->m_kind};
+        judge_worker(board, worker->second, now);
+    }
+    const std::size_t sound_workers = failures_on_sound_workers(board, *one, now);
+    if (sound_workers < workers_to_blame_task && one->m_failed_on.size() < most_workers_tried) {
+        return;
+    }
+    for (const worker_id& blamed : one->m_failed_on) {
+        const auto cleared = board.m_workers.find(blamed);
+        if (cleared != board.m_workers.end()) {
+            cleared->second.m_blamed_by.erase(id);
+        }
+    }
+    refuse(board, *one, "it failed on " + std::to_string(one->m_failed_on.size()) + " workers");
+}
+
+void on_worker_lost(task_board& board, const worker_id& id)
+{
+    const auto found = board.m_workers.find(id);
+    if (found == board.m_workers.end()) {
+        return;
+    }
+    const std::set<task_id> lost = found->second.m_tasks;
+    for (const task_id& one : lost) {
+        task& entry = board.m_tasks.at(one);
+        ++entry.m_lapses;
+        wait_again(board, entry, "its worker was lost");
+    }
+    unindex(board, found->second);
+    board.m_workers.erase(found);
+}
+
+std::string explain_task(const task_board& board, const task_id& id)
+{
+    const auto found = board.m_tasks.find(id);
+    if (found == board.m_tasks.end()) {
+        return "there is no task " + id.str();
+    }
+    const task& one = found->second;
+    constexpr std::array<const char*, 7> words{"waiting", "starting",  "running", "checkpointing",
+                                               "done",    "cancelled", "refused"};
+    std::string text = words.at(static_cast<std::size_t>(one.m_state));
+    if (!one.m_worker.empty()) {
+        text += " on " + one.m_worker.str();
+    }
+    if (!one.m_reason.empty()) {
+        text += ": " + one.m_reason;
+    }
+    return text;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/fleet/usage_model.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "core/ids.h"
+
+namespace guavabay {
+
+/// Work that a task needs or a worker offers.
+struct resources {
+    std::int64_t m_cpu_millis = 0; ///< Thousandths of a core.
+    std::int64_t m_memory_mb = 0;
+    std::int64_t m_accelerators = 0;
+
+    auto operator<=>(const resources&) const = default;
+};
+
+/// Adds two amounts.
+resources operator+(const resources& left, const resources& right);
+/// Subtracts an amount.
+resources operator-(const resources& left, const resources& right);
+/// True when every part of the first fits into the second.
+bool fits(const resources& wanted, const resources& offered);
+
+/// What tasks of one customer and kind really use, relative to what they declare.
+class usage_model {
+public:
+    /// Takes in one observation of a task that ran.
+    void observe(const customer_id& customer, const std::string& kind, const resources& declared,
+                 const resources& used);
+
+    /// True when a task of this customer and kind has ended well before.
+    [[nodiscard]] bool has_succeeded(const customer_id& customer, const std::string& kind) const;
+
+    /// The amount to reserve for a task: a high quantile of what its like has used, never more
+    /// than twice what it declares, and what it declares while too little is known.
+    [[nodiscard]] resources reserve_for(const customer_id& customer, const std::string& kind,
+                                        const resources& declared) const;
+
+private:
+    static constexpr std::size_t sample_count = 32;
+
+    /// The last observed ratios of one customer and kind.
+    struct samples {
+        std::array<double, sample_count> m_cpu{};
+        std::array<double, sample_count> m_memory{};
+        std::size_t m_count = 0;
+    };
+
+    std::map<std::pair<customer_id, std::string>, samples> m_samples;
+};
+
+} // namespace guavabay
--- a/src/fleet/wave_plan.cpp
+++ b/src/fleet/wave_plan.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <set>
+#include <tuple>
 
 #include "contract/contract_parser.h"
 #include "core/json_fields.h"
@@ -15,7 +17,7 @@
 namespace {
 
 constexpr std::uint32_t canary_hosts = 1;
-constexpr std::uint32_t ramp_factor = 2;
+constexpr std::uint32_t ramp_factor = 8; ///< Hosts that may be out for each that came back.
 constexpr std::size_t max_wave_failures_listed = 10;
 
 const host_report* report_of(const fleet_view& fleet, const worker_id& id)
@@ -80,11 +82,35 @@
     return change;
 }
 
-/// Hosts that may be out at one time: one at first, then twice as many as came back, as far as
-/// the budgets allow.
-std::uint32_t ramp_limit(const wave_progress& progress)
+/// How far the wave is in one pool.
+struct pool_progress {
+    std::uint32_t m_done = 0;
+    std::uint32_t m_out = 0;
+    std::map<std::pair<zone_id, rack_id>, std::uint32_t> m_racks; ///< Hosts in service.
+};
+
+std::map<pool_id, pool_progress> measure_pools(const fleet_view& fleet, const wave_record& wave)
+{
+    std::map<pool_id, pool_progress> pools;
+    for (const auto& [id, host] : fleet.m_hosts) {
+        pool_progress& progress = pools[host.m_pool];
+        const bool done = host.m_maintained >= wave.m_number;
+        const bool out = host.m_state == host_state::away ||
+                         (host.m_state == host_state::draining && !host.m_target);
+        progress.m_done += done ? 1U : 0U;
+        progress.m_out += out && !done ? 1U : 0U;
+        if (is_in_service(fleet, host)) {
+            ++progress.m_racks[{host.m_zone, host.m_rack}];
+        }
+    }
+    return pools;
+}
+
+/// Hosts of a pool that may be out at one time: one at first, then several for each that came
+/// back, as far as the budgets allow.
+bool ramp_allows(const pool_progress& progress)
 {
-    return std::max(canary_hosts, progress.m_done * ramp_factor);
+    return progress.m_out < std::max(canary_hosts, progress.m_done * ramp_factor);
 }
 
 /// True when a host of a pool whose budget has room for it may leave now.
@@ -96,25 +122,32 @@
     return keeps_budget(fleet, host.m_pool, {host.m_id});
 }
 
-/// The host to drain next: from the pool with the most room, in the fullest rack of it.
+/// The host to drain next: in the rack with the most hosts in service, since that lowers what the
+/// next failure can take.
 const fleet_host* next_to_drain(const fleet_view& fleet, const wave_record& wave)
 {
+    const std::map<pool_id, pool_progress> pools = measure_pools(fleet, wave);
     const fleet_host* best = nullptr;
-    std::uint32_t best_room = 0;
-    std::map<pool_id, std::uint32_t> room;
+    std::uint32_t best_size = 0;
+    std::set<std::tuple<pool_id, zone_id, rack_id>> refused;
     for (const auto& [id, host] : fleet.m_hosts) {
         const bool due = host.m_state == host_state::serving && host.m_maintained < wave.m_number;
-        if (!due) {
+        const pool_progress& progress = pools.at(host.m_pool);
+        if (!due || !ramp_allows(progress)) {
             continue;
         }
-        const auto [it, added] = room.try_emplace(host.m_pool, 0);
-        if (added) {
-            it->second = spare_hosts(fleet, host.m_pool);
+        const auto rack = progress.m_racks.find({host.m_zone, host.m_rack});
+        const std::uint32_t size = rack == progress.m_racks.end() ? 0 : rack->second;
+        const std::tuple place{host.m_pool, host.m_zone, host.m_rack};
+        if ((best != nullptr && size <= best_size) || refused.contains(place)) {
+            continue;
         }
-        const bool better = best == nullptr || it->second > best_room;
-        if (better && may_leave(fleet, host)) {
+        if (may_leave(fleet, host)) {
             best = &host;
-            best_room = it->second;
+            best_size = size;
+        }
+        else {
+            refused.insert(place);
         }
     }
     return best;
@@ -254,9 +287,7 @@
     if (replacement) {
         return replacement;
     }
-    const wave_progress progress = measure_wave(fleet, *wave);
-    const bool held = wave->m_paused || !wave->m_stopped.empty();
-    if (held || progress.m_out >= ramp_limit(progress)) {
+    if (wave->m_paused || !wave->m_stopped.empty()) {
         return std::nullopt;
     }
     const fleet_host* next = next_to_drain(fleet, *wave);
