Let operators run waves and moves from the command line

guavabay fleet and wave, the operator paths behind them, and a stand-in for the platform's side of the fleet.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,6 +31,19 @@
     --method post --keyed yes --record "$WORK/post.told"
 "$BUILD/guavabay-standins" check --runs "$run_files" --told "$WORK/get.told,$WORK/post.told"
 
+echo "== a maintenance wave over twelve hosts of the fleet"
+start_process platform "$BUILD/guavabay-standins" platform --store "127.0.0.1:$store_port" \
+    --pools conversion:8,administrative:4
+sleep 2
+"$BUILD/guavabay" wave start --operators "$operators" --number 1 --spare administrative
+for _ in $(seq 1 200); do
+    "$BUILD/guavabay" wave status --operators "$operators" >"$WORK/wave"
+    grep -q '"done":12' "$WORK/wave" && break
+    sleep 0.1
+done
+cat "$WORK/wave"
+"$BUILD/guavabay" fleet move --operators "$operators" --pool conversion --dry-run yes administrative-1
+
 echo "== end the contract and prove that its traffic has stopped"
 "$BUILD/guavabay" contract end --operators "$operators" --wait 8 registrars
 "$BUILD/guavabay" contract proof --operators "$operators" --wait 8 registrars
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 
 #include "app/contract_command.h"
 #include "app/exit_status.h"
+#include "app/fleet_command.h"
 #include "app/replay_command.h"
 #include "app/serve.h"
 #include "app/version.h"
@@ -14,6 +15,8 @@
                               "  serve      runs an entry host's process\n"
                               "  contract   check, apply, get, list, end, proof\n"
                               "  status     shows entry hosts and what is in force on them\n"
+                              "  fleet      status, move\n"
+                              "  wave       start, pause, resume, status\n"
                               "  replay     replays recorded traces through the decisions\n"
                               "Each command explains itself with --help.\n";
 
@@ -45,6 +48,12 @@
     if (command == "status") {
         return guavabay::run_status(rest);
     }
+    if (command == "fleet") {
+        return guavabay::run_fleet(rest);
+    }
+    if (command == "wave") {
+        return guavabay::run_wave(rest);
+    }
     if (command == "replay") {
         return guavabay::run_replay(rest);
     }
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -68,6 +68,44 @@
     }
 }
 
+/// The call about the fleet that a request makes; empty when it makes none.
+std::optional<operator_request> fleet_call(const http::request<http::string_body>& request)
+{
+    constexpr std::string_view fleet_path = "/v1/fleet/";
+    constexpr std::string_view pool_path = "/pool";
+    const std::string_view target = to_view(request.target());
+    const http::verb method = request.method();
+    operator_request call;
+    call.m_body = request.body();
+    call.m_operator = header(request, "Operator");
+    call.m_dry_run = header(request, "Dry-Run") == "yes";
+    if (target == "/v1/fleet" && method == http::verb::get) {
+        call.m_verb = operator_verb::fleet_status;
+    }
+    else if (target == "/v1/wave" && method == http::verb::get) {
+        call.m_verb = operator_verb::wave_status;
+    }
+    else if (target == "/v1/wave" && method == http::verb::put) {
+        call.m_verb = operator_verb::wave_start;
+    }
+    else if (target == "/v1/wave/pause" && method == http::verb::post) {
+        call.m_verb = operator_verb::wave_pause;
+    }
+    else if (target == "/v1/wave/resume" && method == http::verb::post) {
+        call.m_verb = operator_verb::wave_resume;
+    }
+    else if (target.starts_with(fleet_path) && target.ends_with(pool_path) &&
+             method == http::verb::put) {
+        call.m_verb = operator_verb::host_move;
+        const std::size_t length = target.size() - fleet_path.size() - pool_path.size();
+        call.m_host = std::string(target.substr(fleet_path.size(), length));
+    }
+    else {
+        return std::nullopt;
+    }
+    return call;
+}
+
 std::vector<host_id> read_hosts(const std::string& text)
 {
     std::vector<host_id> hosts;
@@ -193,6 +231,10 @@
     }
     const std::string_view target = to_view(request.target());
     operator_request call;
+    const std::optional<operator_request> about_fleet = fleet_call(request);
+    if (about_fleet) {
+        co_return co_await call_control(*about_fleet);
+    }
     if (target == "/v1/members" && request.method() == http::verb::get) {
         call.m_verb = operator_verb::members;
         co_return co_await call_control(std::move(call));
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -20,9 +20,13 @@
     if (role == "relay") {
         return standins::run_relay(given);
     }
+    if (role == "platform") {
+        return standins::run_platform(given);
+    }
     if (role == "check") {
         return standins::run_check(given);
     }
-    std::cerr << "usage: guavabay-standins store|endpoint|caller|relay|check [--NAME VALUE]...\n";
+    std::cerr << "usage: guavabay-standins store|endpoint|caller|platform|relay|check [--NAME "
+                 "VALUE]...\n";
     return 2;
 }
--- a/standins/roles.h
+++ b/standins/roles.h
@@ -30,6 +30,9 @@
 /// Runs callers with open-loop load and prints latencies and outcomes.
 int run_caller(const options& given);
 
+/// Runs the stand-in for the platform's side of the fleet until it is killed.
+int run_platform(const options& given);
+
 /// Runs a relay that copies bytes, as a yardstick for the latency that an entry host adds.
 int run_relay(const options& given);
 
