--- a/src/broker/endpoint_table.cpp
+++ b/src/broker/endpoint_table.cpp
@@ -70,6 +70,13 @@
     return best;
 }
 
+bool has_free_slot(const endpoint_table& endpoints, time_point now)
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [now](const auto& entry) {
+        return entry.second.m_used < usable_slots(entry.second, now);
+    });
+}
+
 void note_outcome(endpoint_table& endpoints, const endpoint_id& id, bool answered, time_point now)
 {
     const auto found = endpoints.find(id);
--- a/src/broker/endpoint_table.h
+++ b/src/broker/endpoint_table.h
@@ -42,6 +42,9 @@
 endpoint_state* pick_endpoint(endpoint_table& endpoints, const zone_id& zone,
                               const std::vector<endpoint_id>& excluded, time_point now);
 
+/// True when some endpoint has a free slot.
+bool has_free_slot(const endpoint_table& endpoints, time_point now);
+
 /// Notes how a request ended and ejects the endpoint after several failures in a row. Not more
 /// than a third of a service's endpoints are out at one time.
 void note_outcome(endpoint_table& endpoints, const endpoint_id& id, bool answered, time_point now);
--- a/src/broker/fair_queue.cpp
+++ b/src/broker/fair_queue.cpp
@@ -14,30 +14,30 @@
 
 fair_queue::~fair_queue()
 {
-    for (lane_map* all : {&m_interactive, &m_batch}) {
-        for (auto& [customer, one] : *all) {
+    for (class_lanes* all : {&m_interactive, &m_batch}) {
+        for (auto& [customer, one] : all->m_lanes) {
             one.m_requests.clear();
         }
     }
 }
 
-fair_queue::lane_map& fair_queue::lanes(service_class kind)
+fair_queue::class_lanes& fair_queue::lanes(service_class kind)
 {
     return kind == service_class::interactive ? m_interactive : m_batch;
 }
 
-const fair_queue::lane_map& fair_queue::lanes(service_class kind) const
+const fair_queue::class_lanes& fair_queue::lanes(service_class kind) const
 {
     return kind == service_class::interactive ? m_interactive : m_batch;
 }
 
 void fair_queue::push(std::unique_ptr<waiting_request> request, std::uint32_t weight)
 {
-    const service_class kind = request->m_class;
-    const double floor = kind == service_class::interactive ? m_interactive_floor : m_batch_floor;
-    lane& target = lanes(kind)[request->m_customer];
+    class_lanes& all = lanes(request->m_class);
+    lane& target = all.m_lanes[request->m_customer];
     if (target.m_requests.empty()) {
-        target.m_served = std::max(target.m_served, floor);
+        target.m_served = std::max(target.m_served, all.m_floor);
+        all.m_order.insert({target.m_served, request->m_customer});
     }
     target.m_weight = std::max<std::uint32_t>(1, weight);
     waiting_request& entry = *request;
@@ -53,16 +53,15 @@
 
 std::unique_ptr<waiting_request> fair_queue::take(waiting_request& request)
 {
-    lane_map& all = lanes(request.m_class);
-    const auto found_lane = all.find(request.m_customer);
-    check(found_lane != all.end(), "a waiting request has a lane");
+    class_lanes& all = lanes(request.m_class);
+    const auto found_lane = all.m_lanes.find(request.m_customer);
+    check(found_lane != all.m_lanes.end(), "a waiting request has a lane");
     lane& home = found_lane->second;
     home.m_requests.erase(home.m_requests.iterator_to(request));
     if (home.m_requests.empty()) {
-        const double floor =
-            request.m_class == service_class::interactive ? m_interactive_floor : m_batch_floor;
-        if (home.m_served <= floor) {
-            all.erase(found_lane);
+        all.m_order.erase({home.m_served, request.m_customer});
+        if (home.m_served <= all.m_floor) {
+            all.m_lanes.erase(found_lane);
         }
     }
     const auto found = m_by_id.find(request.m_request);
@@ -98,24 +97,20 @@
 fair_queue::pop_class(service_class kind,
                       const std::function<bool(const waiting_request&)>& may_start)
 {
-    lane_map& all = lanes(kind);
-    lane* best = nullptr;
-    for (auto& [customer, candidate] : all) {
-        if (candidate.m_requests.empty()) {
+    class_lanes& all = lanes(kind);
+    for (const auto& [share, customer] : all.m_order) {
+        lane& candidate = all.m_lanes.at(customer);
+        waiting_request& next = candidate.m_requests.front();
+        if (!may_start(next)) {
             continue;
         }
-        const bool earlier = best == nullptr || candidate.m_served < best->m_served;
-        if (earlier && may_start(candidate.m_requests.front())) {
-            best = &candidate;
-        }
-    }
-    if (best == nullptr) {
-        return nullptr;
+        all.m_floor = std::max(all.m_floor, share);
+        all.m_order.erase({share, next.m_customer});
+        candidate.m_served += 1.0 / candidate.m_weight;
+        all.m_order.insert({candidate.m_served, next.m_customer});
+        return take(next);
     }
-    double& floor = kind == service_class::interactive ? m_interactive_floor : m_batch_floor;
-    floor = std::max(floor, best->m_served);
-    best->m_served += 1.0 / best->m_weight;
-    return take(best->m_requests.front());
+    return nullptr;
 }
 
 std::vector<std::unique_ptr<waiting_request>>
@@ -179,9 +174,9 @@
 std::size_t fair_queue::size_of(const customer_id& customer) const
 {
     std::size_t count = 0;
-    for (const lane_map* all : {&m_interactive, &m_batch}) {
-        const auto found = all->find(customer);
-        count += found == all->end() ? 0 : found->second.m_requests.size();
+    for (const class_lanes* all : {&m_interactive, &m_batch}) {
+        const auto found = all->m_lanes.find(customer);
+        count += found == all->m_lanes.end() ? 0 : found->second.m_requests.size();
     }
     return count;
 }
@@ -191,11 +186,11 @@
 {
     double ahead = 0;
     if (kind == service_class::batch) {
-        for (const auto& [other, one] : m_interactive) {
+        for (const auto& [other, one] : m_interactive.m_lanes) {
             ahead += static_cast<double>(one.m_requests.size());
         }
     }
-    const lane_map& all = lanes(kind);
+    const lane_map& all = lanes(kind).m_lanes;
     const auto own = all.find(customer);
     const double own_length =
         own == all.end() ? 0 : static_cast<double>(own->second.m_requests.size());
--- a/src/broker/fair_queue.h
+++ b/src/broker/fair_queue.h
@@ -88,19 +88,25 @@
     };
 
     using lane_map = std::map<customer_id, lane>;
+    using lane_order = std::set<std::pair<double, customer_id>>; ///< Lanes with requests, by share.
+
+    /// The lanes of one class.
+    struct class_lanes {
+        lane_map m_lanes;
+        lane_order m_order;
+        double m_floor = 0; ///< Share count that a returning customer starts from.
+    };
 
     std::unique_ptr<waiting_request> take(waiting_request& request);
     std::vector<std::unique_ptr<waiting_request>>
     take_if(const std::function<bool(const waiting_request&)>& matches);
     std::unique_ptr<waiting_request>
     pop_class(service_class kind, const std::function<bool(const waiting_request&)>& may_start);
-    lane_map& lanes(service_class kind);
-    [[nodiscard]] const lane_map& lanes(service_class kind) const;
+    class_lanes& lanes(service_class kind);
+    [[nodiscard]] const class_lanes& lanes(service_class kind) const;
 
-    lane_map m_interactive;
-    lane_map m_batch;
-    double m_interactive_floor = 0; ///< Share count that a returning customer starts from.
-    double m_batch_floor = 0;
+    class_lanes m_interactive;
+    class_lanes m_batch;
     std::uint64_t m_started = 0;
     std::unordered_map<request_id, std::unique_ptr<waiting_request>> m_by_id;
 };
--- a/src/broker/slot_broker.cpp
+++ b/src/broker/slot_broker.cpp
@@ -121,7 +121,7 @@
         return;
     }
     broker.m_unreported.clear();
-    while (broker.m_queue.size() > 0) {
+    while (broker.m_queue.size() > 0 && has_free_slot(broker.m_endpoints, now)) {
         const auto may_start = [&](const waiting_request& request) {
             return within_concurrency(broker, request, contracts) &&
                    pick_endpoint(broker.m_endpoints, request.m_zone, request.m_excluded, now) !=
--- a/src/fleet/budget.cpp
+++ b/src/fleet/budget.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "fleet/fleet_index.h"
+
 namespace guavabay {
 
 namespace {
@@ -12,20 +14,6 @@
     return found == fleet.m_budgets.end() ? nullptr : &found->second;
 }
 
-/// The name of the failure domain that a host shares with others.
-std::string domain_of(const fleet_host& host, survivable_failure failure)
-{
-    switch (failure) {
-    case survivable_failure::host:
-        return host.m_id.str();
-    case survivable_failure::rack:
-        return host.m_zone.str() + "/" + host.m_rack.str();
-    case survivable_failure::zone:
-        return host.m_zone.str();
-    }
-    return host.m_id.str();
-}
-
 } // namespace
 
 pool_count count_pool(const fleet_view& fleet, const pool_id& pool,
--- a/src/fleet/wave_plan.cpp
+++ b/src/fleet/wave_plan.cpp
@@ -2,13 +2,12 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
-#include <set>
-#include <tuple>
 
 #include "contract/contract_parser.h"
 #include "core/json_fields.h"
 #include "core/result.h"
 #include "fleet/budget.h"
+#include "fleet/fleet_index.h"
 
 namespace guavabay {
 
@@ -82,101 +81,51 @@
     return change;
 }
 
-/// How far the wave is in one pool.
-struct pool_progress {
-    std::uint32_t m_done = 0;
-    std::uint32_t m_out = 0;
-    std::map<std::pair<zone_id, rack_id>, std::uint32_t> m_racks; ///< Hosts in service.
-};
-
-std::map<pool_id, pool_progress> measure_pools(const fleet_view& fleet, const wave_record& wave)
-{
-    std::map<pool_id, pool_progress> pools;
-    for (const auto& [id, host] : fleet.m_hosts) {
-        pool_progress& progress = pools[host.m_pool];
-        const bool done = host.m_maintained >= wave.m_number;
-        const bool out = host.m_state == host_state::away ||
-                         (host.m_state == host_state::draining && !host.m_target);
-        progress.m_done += done ? 1U : 0U;
-        progress.m_out += out && !done ? 1U : 0U;
-        if (is_in_service(fleet, host)) {
-            ++progress.m_racks[{host.m_zone, host.m_rack}];
-        }
-    }
-    return pools;
-}
-
-/// Hosts of a pool that may be out at one time: one at first, then several for each that came
+/// True when another host of a pool may go out: one at first, then several for each that came
 /// back, as far as the budgets allow.
-bool ramp_allows(const pool_progress& progress)
-{
-    return progress.m_out < std::max(canary_hosts, progress.m_done * ramp_factor);
-}
-
-/// True when a host of a pool whose budget has room for it may leave now.
-bool may_leave(const fleet_view& fleet, const fleet_host& host)
+bool ramp_allows(const pool_index& pool)
 {
-    if (!is_in_service(fleet, host)) {
-        return true;
-    }
-    return keeps_budget(fleet, host.m_pool, {host.m_id});
+    return pool.m_out < std::max(canary_hosts, pool.m_done * ramp_factor);
 }
 
 /// The host to drain next: in the rack with the most hosts in service, since that lowers what the
 /// next failure can take.
-const fleet_host* next_to_drain(const fleet_view& fleet, const wave_record& wave)
+const fleet_host* next_to_drain(const fleet_view& fleet, const fleet_index& index)
 {
-    const std::map<pool_id, pool_progress> pools = measure_pools(fleet, wave);
     const fleet_host* best = nullptr;
     std::uint32_t best_size = 0;
-    std::set<std::tuple<pool_id, zone_id, rack_id>> refused;
-    for (const auto& [id, host] : fleet.m_hosts) {
-        const bool due = host.m_state == host_state::serving && host.m_maintained < wave.m_number;
-        const pool_progress& progress = pools.at(host.m_pool);
-        if (!due || !ramp_allows(progress)) {
+    for (const fleet_host* host : index.m_due) {
+        const pool_index& pool = index.m_pools.at(host->m_pool);
+        if (!ramp_allows(pool)) {
             continue;
         }
-        const auto rack = progress.m_racks.find({host.m_zone, host.m_rack});
-        const std::uint32_t size = rack == progress.m_racks.end() ? 0 : rack->second;
-        const std::tuple place{host.m_pool, host.m_zone, host.m_rack};
-        if ((best != nullptr && size <= best_size) || refused.contains(place)) {
-            continue;
-        }
-        if (may_leave(fleet, host)) {
-            best = &host;
+        const std::uint32_t size = pool.m_racks.size_of(domain_of(*host, survivable_failure::rack));
+        const bool better = best == nullptr || size > best_size;
+        if (better && may_leave(fleet, index, *host)) {
+            best = host;
             best_size = size;
         }
-        else {
-            refused.insert(place);
-        }
     }
     return best;
 }
 
-/// A host of the spare pool that takes the place of a failed one: in its zone if possible.
-std::optional<host_change> replace_failed(const fleet_view& fleet, const wave_record& wave,
-                                          wall_time now)
+/// A host of the spare pool that takes the place of a failed one.
+std::optional<host_change> replace_failed(const fleet_view& fleet, const fleet_index& index,
+                                          const pool_id& spare, wall_time now)
 {
-    std::map<pool_id, std::uint32_t> joining;
-    for (const auto& [id, host] : fleet.m_hosts) {
-        if (host.m_target) {
-            ++joining[*host.m_target];
-        }
-    }
     for (const auto& [pool, budget] : fleet.m_budgets) {
-        const pool_count count = count_pool(fleet, pool);
-        const std::uint32_t owed = budget.m_min + count.m_largest_domain;
-        std::uint32_t failed = 0;
-        for (const auto& [id, host] : fleet.m_hosts) {
-            failed += host.m_pool == pool && host.m_state == host_state::failed ? 1U : 0U;
+        const auto found = index.m_pools.find(pool);
+        if (found == index.m_pools.end() || found->second.m_failed == 0 || pool == spare) {
+            continue;
         }
-        if (failed == 0 || count.m_in_service + joining[pool] >= owed || pool == wave.m_spare) {
+        const pool_index& counts = found->second;
+        const std::uint32_t owed = budget.m_min + counts.m_domains.largest();
+        if (counts.m_in_service + counts.m_joining >= owed) {
             continue;
         }
         for (const auto& [id, host] : fleet.m_hosts) {
-            const bool spare =
-                host.m_pool == wave.m_spare && is_in_service(fleet, host) && !host.m_target;
-            if (!spare || !keeps_budget(fleet, wave.m_spare, {id})) {
+            const bool free = host.m_pool == spare && is_in_service(fleet, host) && !host.m_target;
+            if (!free || !may_leave(fleet, index, host)) {
                 continue;
             }
             host_change change = change_state(host, host_state::draining, now,
@@ -264,17 +213,18 @@
 std::optional<host_change> plan_change(const fleet_view& fleet, const wave_record* wave,
                                        wall_time now)
 {
-    for (const auto& [id, host] : fleet.m_hosts) {
-        const host_report* report = report_of(fleet, id);
+    const fleet_index index = index_fleet(fleet, wave == nullptr ? wave_number(0) : wave->m_number);
+    for (const fleet_host* host : index.m_in_change) {
+        const host_report* report = report_of(fleet, host->m_id);
         std::optional<host_change> change;
-        if (host.m_state == host_state::draining) {
-            change = after_drain(host, report, now);
+        if (host->m_state == host_state::draining) {
+            change = after_drain(*host, report, now);
         }
-        else if (host.m_state == host_state::away && wave != nullptr) {
-            change = after_absence(host, report, *wave, now);
+        else if (host->m_state == host_state::away && wave != nullptr) {
+            change = after_absence(*host, report, *wave, now);
         }
-        else if (host.m_state == host_state::failed) {
-            change = after_failure(host, report, wave, now);
+        else if (host->m_state == host_state::failed) {
+            change = after_failure(*host, report, wave, now);
         }
         if (change) {
             return change;
@@ -283,14 +233,14 @@
     if (wave == nullptr) {
         return std::nullopt;
     }
-    std::optional<host_change> replacement = replace_failed(fleet, *wave, now);
+    std::optional<host_change> replacement = replace_failed(fleet, index, wave->m_spare, now);
     if (replacement) {
         return replacement;
     }
     if (wave->m_paused || !wave->m_stopped.empty()) {
         return std::nullopt;
     }
-    const fleet_host* next = next_to_drain(fleet, *wave);
+    const fleet_host* next = next_to_drain(fleet, index);
     if (next == nullptr) {
         return std::nullopt;
     }
@@ -317,7 +267,7 @@
         return fail("pool " + target.str() + " holds the " + std::to_string(budget->second.m_max) +
                     " hosts that its contracts allow");
     }
-    if (!may_leave(fleet, moved)) {
+    if (is_in_service(fleet, moved) && !keeps_budget(fleet, moved.m_pool, {host})) {
         const pool_budget& owed = fleet.m_budgets.at(moved.m_pool);
         return fail("pool " + moved.m_pool.str() + " owes " + std::to_string(owed.m_min) +
                     " hosts and the loss of its largest failure domain would break that");
--- a/src/node/fleet_duties.cpp
+++ b/src/node/fleet_duties.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr milliseconds retry_interval{200};
-constexpr milliseconds plan_interval{1000};
+constexpr seconds plan_interval{5}; ///< Longest time without a plan while nothing changes.
 constexpr std::uint64_t fleet_duty_hash = 0x666c656574ULL;
 
 std::string host_key(const worker_id& id)
