Keep control within its bounds at full size; batch the inner protocol

Cause 1: an entry host's memory grew by 3.9 kB a fleet host (28.9 MB at 2,000, 21.2 MB at none), which breaks 32 MB below 3,000 hosts of 23,000. The full reading was decoded as one JSON text, and every process kept the fleet's records as text and spread them. Now the store is read in pages, hosts and reports are kept parsed, and only from the store: the duty that decides on them needs the store anyway. Cause 2: the control thread was the busiest (5.1 s against 3.1 s of the edge for 80,000 requests), much of it in preparing HMAC for each packet and one datagram a message. A secret is prepared once a thread, ring values and datagrams are taken in batches, and a packet is split at the datagram's size instead of going over TCP.

--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -62,7 +62,7 @@
         host.m_rack = rack_id("r" + std::to_string(i / 20));
         host.m_zone = zone_id("z" + std::to_string(i / 20 % 8));
         host.m_pool = pool_id("p" + std::to_string(i % pools));
-        fleet.m_reports[host.m_id] = {true, false, {}};
+        fleet.m_reports[host.m_id] = {true, false, {}, {}};
         fleet.m_hosts[host.m_id] = host;
     }
     for (std::int64_t i = 0; i < pools; ++i) {
@@ -143,21 +143,22 @@
 }
 BENCHMARK(bench_contract_change)->Arg(22)->Arg(220)->Arg(2200)->Unit(benchmark::kMicrosecond);
 
-/// Taking one changed record of a host into a table. By records.
+/// Taking one changed endpoint listing into a table. By records.
 void bench_record_merge(benchmark::State& state)
 {
     config_table table(validate_record);
-    fleet_host host;
-    host.m_zone = zone_id("z1");
-    host.m_rack = rack_id("r1");
-    host.m_pool = pool_id("p1");
-    const std::string value = format_fleet_host(host);
+    endpoint_listing listing;
+    listing.m_address = "10.0.0.1:80";
+    listing.m_slots = 8;
+    const std::string value = format_endpoint(listing);
     for (std::int64_t i = 0; i < state.range(0); ++i) {
-        table.merge({"host/w" + std::to_string(i), revision(i + 1), value});
+        table.merge({"endpoint/s/e" + std::to_string(i), revision(i + 1), value});
     }
+    check(table.size() == static_cast<std::size_t>(state.range(0)), "every listing is sound");
     std::int64_t number = state.range(0) + 1;
     for (auto _ : state) {
-        table.merge({"host/w" + std::to_string(number % state.range(0)), revision(number), value});
+        table.merge(
+            {"endpoint/s/e" + std::to_string(number % state.range(0)), revision(number), value});
         ++number;
     }
 }
--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -29,8 +29,10 @@
                            const ip_address& peer_address, peer_keys keys, control_outlets outlets,
                            shared_state& shared)
     : m_context(context), m_node(std::move(settings), read_clock()),
-      m_link(context, peer_address, std::move(keys),
-             [this](peer_packet&& packet) { take(packet_received{std::move(packet)}); }),
+      m_link(
+          context, peer_address, std::move(keys),
+          [this](peer_packet&& packet) { take(packet_received{std::move(packet)}); },
+          [this] { carry_out(); }),
       m_outlets(outlets), m_shared(shared)
 {
 }
@@ -43,7 +45,6 @@
 void control_loop::take(node_event&& event)
 {
     step(m_node, event, read_clock(), read_wall_clock(), m_out);
-    carry_out();
 }
 
 asio::awaitable<void> control_loop::run_clock()
@@ -141,6 +142,10 @@
 
 void control_loop::publish()
 {
+    const peer_link_counts& counts = m_link.counts();
+    m_shared.m_peer_sent_bytes.store(counts.m_sent_bytes);
+    m_shared.m_peer_received_bytes.store(counts.m_received_bytes);
+    m_shared.m_peer_rejected_packets.store(counts.m_rejected_packets);
     const time_point now = read_clock();
     const bool fresh = is_fresh(m_node, now);
     m_shared.m_ready.store(fresh && !m_node.m_stopping);
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -27,12 +27,14 @@
     /// Starts the clock.
     void start();
 
-    /// Takes one event from another thread.
+    /// Takes one event. What follows from it is collected until carry_out.
     void take(node_event&& event);
 
+    /// Sends everything that the events taken so far have decided.
+    void carry_out();
+
 private:
     asio::awaitable<void> run_clock();
-    void carry_out();
     void send_packets();
     void send_address_packets();
     void publish();
--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::size_t ring_capacity = 16384;
+constexpr std::size_t ring_capacity = 4096;
 constexpr std::size_t operator_ring_capacity = 1024;
 
 /// The threads of an entry host's process and the rings between them.
@@ -74,10 +74,11 @@
     void connect()
     {
         const auto to_control = [this](node_event& event) { m_control.take(std::move(event)); };
-        m_control_from_edge.set_handler(to_control);
-        m_control_from_store.set_handler(to_control);
-        m_control_from_operators.set_handler(to_control);
-        m_control_from_signals.set_handler(to_control);
+        const auto carry_out = [this] { m_control.carry_out(); };
+        m_control_from_edge.set_handler(to_control, carry_out);
+        m_control_from_store.set_handler(to_control, carry_out);
+        m_control_from_operators.set_handler(to_control, carry_out);
+        m_control_from_signals.set_handler(to_control, carry_out);
         m_store_in.set_handler([this](store_call& call) { m_store.call(std::move(call)); });
         m_operator_in.set_handler(
             [this](operator_answer& answer) { m_operators.take(std::move(answer)); });
--- a/src/config/records.cpp
+++ b/src/config/records.cpp
@@ -192,12 +192,6 @@
     if (key.starts_with(proof_prefix) || key.starts_with(member_prefix)) {
         return parse_json_object(value) ? "" : last_reason();
     }
-    if (key.starts_with(host_prefix)) {
-        return parse_fleet_host(key.substr(host_prefix.size()), value) ? "" : last_reason();
-    }
-    if (key.starts_with(report_prefix)) {
-        return parse_host_report(value) ? "" : last_reason();
-    }
     if (key == wave_key) {
         return parse_wave(value) ? "" : last_reason();
     }
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -35,6 +35,9 @@
 struct shared_state {
     std::atomic<bool> m_ready{false}; ///< The configuration is in force and no stop is wanted.
     std::atomic<std::int64_t> m_fresh_until_us{0}; ///< Runtime clock; set by the control thread.
+    std::atomic<std::uint64_t> m_peer_sent_bytes{0};
+    std::atomic<std::uint64_t> m_peer_received_bytes{0};
+    std::atomic<std::uint64_t> m_peer_rejected_packets{0};
 };
 
 } // namespace guavabay
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -44,6 +44,7 @@
     bool m_up = false;
     bool m_empty = false; ///< No task and no request is left on it.
     wave_number m_maintained;
+    revision m_revision; ///< Of the record in the store.
 };
 
 /// Hosts that a pool owes, derived from the contracts that name it.
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -19,9 +19,13 @@
     {
     }
 
-    /// Sets the function that receives each value on the consumer's thread. Called before the
-    /// first value is sent.
-    void set_handler(std::function<void(Value&)> handler) { m_handler = std::move(handler); }
+    /// Sets the function that receives each value on the consumer's thread, and one that follows
+    /// the last value of each batch. Called before the first value is sent.
+    void set_handler(std::function<void(Value&)> handler, std::function<void()> after_batch = {})
+    {
+        m_handler = std::move(handler);
+        m_after_batch = std::move(after_batch);
+    }
 
     /// Sends a value from the one producing thread; false when the ring is full.
     bool try_send(Value&& value)
@@ -43,11 +47,15 @@
         while (m_ring.try_pop(value)) {
             m_handler(value);
         }
+        if (m_after_batch) {
+            m_after_batch();
+        }
     }
 
     bounded_ring<Value> m_ring;
     asio::io_context& m_consumer;
     std::function<void(Value&)> m_handler;
+    std::function<void()> m_after_batch;
     std::atomic<bool> m_wake_pending{false};
 };
 
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -79,10 +79,7 @@
     if (!update.m_full || update.m_revision < node.m_config.newest()) {
         return removed;
     }
-    std::set<std::string> shown;
-    for (const config_record& record : update.m_records) {
-        shown.insert(record.m_key);
-    }
+    const std::set<std::string> shown(update.m_shown_keys.begin(), update.m_shown_keys.end());
     for (const std::string_view prefix : {endpoint_prefix, member_prefix}) {
         node.m_config.for_each(std::string(prefix), [&](const config_record& record) {
             if (!shown.contains(record.m_key)) {
@@ -103,6 +100,9 @@
     bool endpoints_changed = false;
     bool changed = false;
     for (const config_record& record : records) {
+        if (take_fleet_record(node, record, out)) {
+            continue;
+        }
         const bool is_contract = record.m_key.starts_with(contract_prefix);
         if (is_contract && record.m_value.empty()) {
             out.m_log.push_back(
@@ -121,7 +121,7 @@
             changed = true;
             contracts_changed = contracts_changed || is_contract;
             endpoints_changed = endpoints_changed || record.m_key.starts_with(endpoint_prefix);
-            follow_fleet_record(node, record);
+            follow_wave_record(node, record);
         }
     }
     if (contracts_changed) {
@@ -146,6 +146,9 @@
     merge_records(node, removed, now, wall, out);
     if (update.m_full) {
         node.m_sync.m_store_read = true;
+        if (update.m_revision >= node.m_full_reading) {
+            forget_unlisted_hosts(node, update.m_shown_keys);
+        }
         node.m_full_reading = std::max(node.m_full_reading, update.m_revision);
     }
 }
--- a/src/node/fleet_duties.cpp
+++ b/src/node/fleet_duties.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <set>
 
 #include "core/json_fields.h"
 #include "core/result.h"
@@ -89,6 +90,58 @@
     return make_write(*change);
 }
 
+void report_unreadable(const config_record& record, node_output& out)
+{
+    out.m_log.push_back({log_level::error, "fleet: unreadable record kept out key=" + record.m_key +
+                                               " reason=" + last_reason()});
+}
+
+void take_host_record(node_state& node, const config_record& record, node_output& out)
+{
+    const worker_id id(record.m_key.substr(host_prefix.size()));
+    const auto known = node.m_fleet.m_hosts.find(id);
+    const bool older =
+        known != node.m_fleet.m_hosts.end() && known->second.m_revision >= record.m_revision;
+    if (older) {
+        return;
+    }
+    node.m_fleet_duty.m_changed = true;
+    if (record.m_value.empty()) {
+        node.m_fleet.m_hosts.erase(id);
+        return;
+    }
+    std::optional<fleet_host> host = parse_fleet_host(id.str(), record.m_value);
+    if (!host) {
+        report_unreadable(record, out);
+        return;
+    }
+    host->m_revision = record.m_revision;
+    node.m_fleet.m_hosts[id] = std::move(*host);
+}
+
+void take_report_record(node_state& node, const config_record& record, node_output& out)
+{
+    const worker_id id(record.m_key.substr(report_prefix.size()));
+    const auto known = node.m_fleet.m_reports.find(id);
+    const bool older =
+        known != node.m_fleet.m_reports.end() && known->second.m_revision >= record.m_revision;
+    if (older) {
+        return;
+    }
+    node.m_fleet_duty.m_changed = true;
+    if (record.m_value.empty()) {
+        node.m_fleet.m_reports.erase(id);
+        return;
+    }
+    std::optional<host_report> report = parse_host_report(record.m_value);
+    if (!report) {
+        report_unreadable(record, out);
+        return;
+    }
+    report->m_revision = record.m_revision;
+    node.m_fleet.m_reports[id] = *report;
+}
+
 /// Lets go of the duty; a write under way is fenced off by the next holder.
 void drop_duty(fleet_duty& duty)
 {
@@ -260,32 +313,38 @@
     return node.m_fleet_duty.m_stage == fleet_duty::stage::ready;
 }
 
-void follow_fleet_record(node_state& node, const config_record& record)
+bool take_fleet_record(node_state& node, const config_record& record, node_output& out)
 {
     if (record.m_key.starts_with(host_prefix)) {
-        const std::string id = record.m_key.substr(host_prefix.size());
-        std::optional<fleet_host> host = parse_fleet_host(id, record.m_value);
-        node.m_fleet.m_hosts.erase(worker_id(id));
-        if (host) {
-            host->m_revision = record.m_revision;
-            node.m_fleet.m_hosts[host->m_id] = std::move(*host);
-        }
+        take_host_record(node, record, out);
+        return true;
     }
-    else if (record.m_key.starts_with(report_prefix)) {
-        const worker_id id(record.m_key.substr(report_prefix.size()));
-        const std::optional<host_report> report = parse_host_report(record.m_value);
-        node.m_fleet.m_reports.erase(id);
-        if (report) {
-            node.m_fleet.m_reports[id] = *report;
+    if (record.m_key.starts_with(report_prefix)) {
+        take_report_record(node, record, out);
+        return true;
+    }
+    return false;
+}
+
+void forget_unlisted_hosts(node_state& node, const std::vector<std::string>& shown_keys)
+{
+    std::set<worker_id> shown;
+    for (const std::string& key : shown_keys) {
+        if (key.starts_with(host_prefix)) {
+            shown.insert(worker_id(key.substr(host_prefix.size())));
         }
     }
-    else if (record.m_key == wave_key) {
+    const std::size_t erased = std::erase_if(
+        node.m_fleet.m_hosts, [&shown](const auto& entry) { return !shown.contains(entry.first); });
+    node.m_fleet_duty.m_changed = node.m_fleet_duty.m_changed || erased > 0;
+}
+
+void follow_wave_record(node_state& node, const config_record& record)
+{
+    if (record.m_key == wave_key) {
         node.m_wave = parse_wave(record.m_value);
+        node.m_fleet_duty.m_changed = true;
     }
-    else if (record.m_key != fleet_duty_key) {
-        return;
-    }
-    node.m_fleet_duty.m_changed = true;
 }
 
 void follow_contracts(node_state& node)
@@ -373,8 +432,9 @@
     duty.m_write.reset();
     duty.m_next_try = now;
     const bool settled = done || result.m_record.m_value == write.m_record.m_value;
-    if (node.m_config.merge(result.m_record) == merge_outcome::applied) {
-        follow_fleet_record(node, result.m_record);
+    if (!take_fleet_record(node, result.m_record, out) &&
+        node.m_config.merge(result.m_record) == merge_outcome::applied) {
+        follow_wave_record(node, result.m_record);
     }
     if (settled) {
         out.m_log.push_back({log_level::info, "fleet: " + write.m_reason});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -396,15 +396,17 @@
     for (std::size_t round = 0; round < max_local_rounds; ++round) {
         std::vector<peer_message> local;
         auto& sends = context.m_out.m_sends;
+        const bool any = std::any_of(sends.begin(), sends.end(),
+                                     [&self](const auto& send) { return send.first == self; });
+        if (!any) {
+            return;
+        }
         const auto rest = std::stable_partition(
             sends.begin(), sends.end(), [&self](const auto& send) { return send.first != self; });
         for (auto it = rest; it != sends.end(); ++it) {
             local.push_back(std::move(it->second));
         }
         sends.erase(rest, sends.end());
-        if (local.empty()) {
-            return;
-        }
         for (const peer_message& message : local) {
             std::visit(message_handler{context, self}, message);
         }
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -106,6 +106,16 @@
     return call;
 }
 
+/// The counts of the inner protocol in the Prometheus text format.
+std::string describe_link(const shared_state& shared)
+{
+    return "guavabay_peer_sent_bytes_total " + std::to_string(shared.m_peer_sent_bytes.load()) +
+           "\nguavabay_peer_received_bytes_total " +
+           std::to_string(shared.m_peer_received_bytes.load()) +
+           "\nguavabay_peer_rejected_packets_total " +
+           std::to_string(shared.m_peer_rejected_packets.load()) + "\n";
+}
+
 std::vector<host_id> read_hosts(const std::string& text)
 {
     std::vector<host_id> hosts;
@@ -203,7 +213,8 @@
         return make_error_answer(error_kind::unauthorized, {});
     }
     if (target == "/metrics") {
-        return make_answer(http::status::ok, "text/plain; version=0.0.4", m_metrics.to_text());
+        return make_answer(http::status::ok, "text/plain; version=0.0.4",
+                           m_metrics.to_text() + describe_link(m_shared));
     }
     if (target == "/v1/histograms") {
         return make_answer(http::status::ok, "application/json", m_metrics.to_json());
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -8,10 +8,12 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstring>
+#include <map>
+#include <memory>
 #include <new>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 #include "core/check.h"
 #include "core/result.h"
@@ -28,14 +30,44 @@
 
 using tag = std::array<unsigned char, tag_bytes>;
 
-/// Truncated HMAC-SHA256 over the key id and the body.
+struct mac_deleter {
+    void operator()(EVP_MAC_CTX* context) const { EVP_MAC_CTX_free(context); }
+};
+
+using mac_context = std::unique_ptr<EVP_MAC_CTX, mac_deleter>;
+
+/// Prepares HMAC-SHA256 with a secret.
+mac_context make_mac(const std::string& secret)
+{
+    EVP_MAC* mac = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    mac_context context(EVP_MAC_CTX_new(mac));
+    EVP_MAC_free(mac);
+    std::string digest = "SHA256";
+    const std::array<OSSL_PARAM, 2> parameters{
+        OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0), OSSL_PARAM_construct_end()};
+    const int ready =
+        EVP_MAC_init(context.get(), reinterpret_cast<const unsigned char*>(secret.data()),
+                     secret.size(), parameters.data());
+    check(ready == 1, "the library has HMAC-SHA256");
+    return context;
+}
+
+/// Truncated HMAC-SHA256 over the body. Each thread prepares a secret once.
 tag sign(std::string_view body, const peer_key& key)
 {
+    thread_local std::map<std::string, mac_context> prepared;
+    mac_context& context = prepared[key.m_secret];
+    if (!context) {
+        context = make_mac(key.m_secret);
+    }
     std::array<unsigned char, EVP_MAX_MD_SIZE> full{};
-    unsigned length = 0;
-    HMAC(EVP_sha256(), key.m_secret.data(), static_cast<int>(key.m_secret.size()),
-         reinterpret_cast<const unsigned char*>(body.data()), body.size(), full.data(), &length);
-    check(length >= tag_bytes, "the digest covers the tag");
+    std::size_t length = 0;
+    const bool signed_whole =
+        EVP_MAC_init(context.get(), nullptr, 0, nullptr) == 1 &&
+        EVP_MAC_update(context.get(), reinterpret_cast<const unsigned char*>(body.data()),
+                       body.size()) == 1 &&
+        EVP_MAC_final(context.get(), full.data(), &length, full.size()) == 1;
+    check(signed_whole && length >= tag_bytes, "the digest covers the tag");
     tag result{};
     std::copy_n(full.begin(), tag_bytes, result.begin());
     return result;
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -13,16 +13,18 @@
 
 constexpr std::size_t max_large_transfers = 64;
 constexpr std::chrono::seconds large_patience{5};
+constexpr std::size_t max_batch = 64; ///< Datagrams taken in one go.
 constexpr int socket_buffer_bytes = 1 << 20;
 
 } // namespace
 
 peer_link::peer_link(asio::io_context& context, const ip_address& address, peer_keys keys,
-                     packet_handler handler)
+                     packet_handler handler, batch_handler after_batch)
     : m_context(context), m_socket(context, address.udp()), m_acceptor(context, address.tcp()),
-      m_keys(std::move(keys)), m_handler(std::move(handler))
+      m_keys(std::move(keys)), m_handler(std::move(handler)), m_after_batch(std::move(after_batch))
 {
     check(!m_keys.empty(), "a link has a key to sign with");
+    m_socket.non_blocking(true);
     m_socket.set_option(asio::socket_base::receive_buffer_size(socket_buffer_bytes));
     asio::co_spawn(m_context, receive_datagrams(), asio::detached);
     asio::co_spawn(m_context, accept_connections(), asio::detached);
@@ -31,20 +33,32 @@
 void peer_link::send(const std::string& address, const peer_packet& packet)
 {
     const std::optional<ip_address> target = parse_address(address);
-    if (!target) {
-        return;
+    if (target) {
+        send_to(*target, packet);
     }
+}
+
+void peer_link::send_to(const ip_address& target, const peer_packet& packet)
+{
     std::string bytes = encode_packet(packet, m_keys.front());
+    if (bytes.size() > max_datagram_bytes && packet.m_messages.size() > 1) {
+        const auto middle =
+            packet.m_messages.begin() + static_cast<std::ptrdiff_t>(packet.m_messages.size() / 2);
+        send_to(target,
+                {packet.m_sender, packet.m_incarnation, {packet.m_messages.begin(), middle}});
+        send_to(target, {packet.m_sender, packet.m_incarnation, {middle, packet.m_messages.end()}});
+        return;
+    }
     ++m_counts.m_sent_packets;
     m_counts.m_sent_bytes += bytes.size();
     if (bytes.size() <= max_datagram_bytes) {
         error_code ignored;
-        m_socket.send_to(asio::buffer(bytes), target->udp(), 0, ignored);
+        m_socket.send_to(asio::buffer(bytes), target.udp(), 0, ignored);
         return;
     }
     if (m_large_open < max_large_transfers) {
         ++m_counts.m_large_packets;
-        asio::co_spawn(m_context, send_large(target->tcp(), std::move(bytes)), asio::detached);
+        asio::co_spawn(m_context, send_large(target.tcp(), std::move(bytes)), asio::detached);
     }
 }
 
@@ -61,6 +75,21 @@
         if (!error) {
             take({m_buffer.data(), length});
         }
+        receive_waiting();
+        m_after_batch();
+    }
+}
+
+void peer_link::receive_waiting()
+{
+    asio::ip::udp::endpoint sender;
+    error_code error;
+    for (std::size_t i = 0; i < max_batch; ++i) {
+        const std::size_t length = m_socket.receive_from(asio::buffer(m_buffer), sender, 0, error);
+        if (error) {
+            return;
+        }
+        take({m_buffer.data(), length});
     }
 }
 
@@ -93,6 +122,7 @@
         co_await asio::async_read(stream, asio::buffer(bytes), to_coroutine(error));
         if (!error) {
             take(bytes);
+            m_after_batch();
         }
     }
     --m_large_open;
--- a/src/platform/etcd_codec.cpp
+++ b/src/platform/etcd_codec.cpp
@@ -181,11 +181,17 @@
     return result;
 }
 
-etcd_request encode_read_all(const std::string& prefix)
+etcd_request encode_read_page(const std::string& prefix, const std::string& after,
+                              revision position)
 {
-    return {"/v3/kv/range",
-            json::serialize(json::object{{"key", to_base64(prefix)},
-                                         {"range_end", to_base64(end_of_prefix(prefix))}})};
+    const std::string first = after.empty() ? prefix : prefix + after + '\0';
+    json::object body{{"key", to_base64(first)},
+                      {"range_end", to_base64(end_of_prefix(prefix))},
+                      {"limit", std::to_string(page_records)}};
+    if (position != revision{}) {
+        body["revision"] = std::to_string(position.get());
+    }
+    return {"/v3/kv/range", json::serialize(body)};
 }
 
 etcd_request encode_read_newest(const std::string& prefix)
@@ -210,7 +216,6 @@
         return fail("the store's answer has no header");
     }
     store_update update;
-    update.m_full = true;
     update.m_revision = revision(number_field(*header, "revision"));
     const json::array* records = array_at(*answer, "kvs");
     if (records == nullptr) {
--- a/src/platform/etcd_codec.h
+++ b/src/platform/etcd_codec.h
@@ -21,8 +21,13 @@
 store_result decode_result(const store_call& call, std::string_view body,
                            const std::string& prefix);
 
-/// The request that reads every record under a prefix.
-etcd_request encode_read_all(const std::string& prefix);
+/// Records in one page of a full reading.
+inline constexpr std::size_t page_records = 500;
+
+/// The request that reads one page of the records under a prefix, after the given key, as they
+/// were at a position of the history; position zero stands for the present.
+etcd_request encode_read_page(const std::string& prefix, const std::string& after,
+                              revision position);
 
 /// The request that reads only the newest record under a prefix.
 etcd_request encode_read_newest(const std::string& prefix);
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -79,19 +79,36 @@
 
 asio::awaitable<bool> etcd_store::read_all()
 {
-    etcd_request request = encode_read_all(m_settings.m_prefix);
-    const std::optional<std::string> body =
-        co_await exchange(std::move(request.m_target), std::move(request.m_body));
-    if (!body) {
-        co_return false;
-    }
-    std::optional<store_update> update = decode_range(*body, m_settings.m_prefix);
-    if (!update) {
-        log_warning("store: reading failed");
-        co_return false;
+    store_update shown;
+    shown.m_full = true;
+    std::string last_key;
+    bool more = true;
+    while (more) {
+        etcd_request request = encode_read_page(m_settings.m_prefix, last_key, shown.m_revision);
+        const std::optional<std::string> body =
+            co_await exchange(std::move(request.m_target), std::move(request.m_body));
+        std::optional<store_update> page;
+        if (body) {
+            page = decode_range(*body, m_settings.m_prefix);
+        }
+        if (!page) {
+            log_warning("store: reading failed");
+            co_return false;
+        }
+        if (shown.m_revision == revision{}) {
+            shown.m_revision = page->m_revision;
+        }
+        more = page->m_records.size() == page_records;
+        if (more) {
+            last_key = page->m_records.back().m_key;
+        }
+        for (const config_record& record : page->m_records) {
+            shown.m_shown_keys.push_back(record.m_key);
+        }
+        m_handler(std::move(*page));
     }
-    m_seen = update->m_revision;
-    m_handler(std::move(*update));
+    m_seen = shown.m_revision;
+    m_handler(std::move(shown));
     co_return true;
 }
 
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -70,11 +70,13 @@
     lease_id m_lease;
 };
 
-/// Records that the store told of by itself. A full set lists every record that exists.
+/// Records that the store told of by itself. The end of a full reading names every record that
+/// exists.
 struct store_update {
     std::vector<config_record> m_records;
     bool m_full = false;
-    revision m_revision; ///< Position of the store's history that a full set shows.
+    revision m_revision; ///< Position of the store's history that a full reading shows.
+    std::vector<std::string> m_shown_keys; ///< All keys, at the end of a full reading.
 };
 
 /// The store answers again, or no longer.
--- a/standins/platform_role.cpp
+++ b/standins/platform_role.cpp
@@ -37,7 +37,7 @@
     struct machine {
         host_state m_seen = host_state::serving;
         time_point m_since{};
-        host_report m_report{true, false, {}};
+        host_report m_report{true, false, {}, {}};
         bool m_reported = false;
     };
 
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -57,6 +57,7 @@
     update.m_revision = revision(m_revision);
     for (const auto& [key, one] : m_records) {
         update.m_records.push_back(one.m_record);
+        update.m_shown_keys.push_back(key);
     }
     return update;
 }
