Document the system and check the documents against the program

The tables of settings and errors are printed by guavabay reference and compared by a test; settings are tested for range, environment and contradiction.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -5,8 +5,11 @@
 #include "app/contract_command.h"
 #include "app/exit_status.h"
 #include "app/fleet_command.h"
+#include "app/operator_client.h"
+#include "app/reference.h"
 #include "app/replay_command.h"
 #include "app/serve.h"
+#include "app/serve_settings.h"
 #include "app/version.h"
 
 namespace {
@@ -18,6 +21,7 @@
                               "  fleet      status, move\n"
                               "  wave       start, pause, resume, status\n"
                               "  replay     replays recorded traces through the decisions\n"
+                              "  reference  prints all settings and errors as Markdown\n"
                               "Each command explains itself with --help.\n";
 
 } // namespace
@@ -39,6 +43,12 @@
         std::cout << "guavabay " << guavabay::program_version << "\n";
         return guavabay::exit_success;
     }
+    if (command == "reference") {
+        std::cout << guavabay::describe_settings(guavabay::declare_serve_settings()) << "\n"
+                  << guavabay::describe_settings(guavabay::declare_operator_settings()) << "\n"
+                  << guavabay::describe_errors();
+        return guavabay::exit_success;
+    }
     if (command == "serve") {
         return guavabay::run_serve(rest);
     }
