--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -2,7 +2,8 @@
 # Needs BUILD (folder of the programs) and WORK (a folder for logs and records).
 
 declare -A pid_of
-base_port=${BASE_PORT:-$((20000 + $$ % 20000))}
+# Blocks of ports below the range that the system gives to outgoing connections.
+base_port=${BASE_PORT:-$((10000 + $$ % 45 * 450))}
 store_port=$base_port
 operators=""
 targets=""
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -12,7 +12,7 @@
 parser.add_argument("--rates", default="0,0.5,5")
 given = parser.parse_args()
 build = os.environ.get("BUILD", "build")
-base = 20000 + os.getpid() % 20000
+base = 10000 + os.getpid() % 5 * 3200  # below the ports of outgoing connections
 ticks = os.sysconf("SC_CLK_TCK")
 processes = []
 
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -21,6 +21,9 @@
     /// closes its connection, and the idle function is called once nothing is left.
     void stop();
 
+    /// The port that callers connect to.
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     /// Number of requests being served.
     [[nodiscard]] std::size_t active_requests() const { return m_active; }
 
