Split the large files of the node and the replay by duty

Contract changes, fleet records, fleet calls, service queues, key duties, the message handler and the slot policies have files of their own; the tests' event queue and the replay's were twins and are one.

--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-#include "node/fleet_duties.h"
+#include "node/fleet_records.h"
 #include "node/slot_client.h"
 
 namespace guavabay {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,8 +4,11 @@
 
 #include "node/config_sync.h"
 #include "node/fleet_duties.h"
+#include "node/key_duties.h"
 #include "node/membership_duties.h"
+#include "node/message_handler.h"
 #include "node/operator_work.h"
+#include "node/service_queues.h"
 #include "node/slot_client.h"
 #include "node/store_duties.h"
 
@@ -16,260 +19,6 @@
 constexpr seconds handover_patience{3};
 constexpr std::size_t max_local_rounds = 16;
 
-/// The moment and the place of output that every handler of one step shares.
-struct step_context {
-    node_state& m_node;
-    time_point m_now;
-    wall_time m_wall;
-    node_output& m_out;
-};
-
-contract_lookup make_lookup(const step_context& context)
-{
-    return [&context](const customer_id& customer) -> const contract* {
-        const contract_in_force* terms = find_contract(*context.m_node.m_view, customer);
-        const bool open = terms != nullptr && !access_refusal(*terms, context.m_wall);
-        return open ? &terms->m_record.m_terms : nullptr;
-    };
-}
-
-void append(node_output& out, broker_output& sends)
-{
-    for (auto& send : sends.m_sends) {
-        out.m_sends.push_back(std::move(send));
-    }
-}
-
-/// Finds this process's queue of a service, and takes the ownership up when it is new.
-slot_broker& own_broker(const step_context& context, const service_id& service)
-{
-    node_state& node = context.m_node;
-    const auto [it, added] = node.m_brokers.try_emplace(service);
-    slot_broker& broker = it->second;
-    if (added) {
-        broker.m_service = service;
-        apply_listings(broker.m_endpoints, node.m_listings[service]);
-        std::vector<host_id> others;
-        for (const auto& [host, entry] : node.m_members.entries()) {
-            const bool alive = node.m_members.is_alive(host, context.m_now);
-            if (alive && !entry.m_suspected && host != node.m_settings.m_self.m_host) {
-                others.push_back(host);
-            }
-        }
-        others.push_back(node.m_settings.m_self.m_host);
-        broker_output sends;
-        begin_ownership(broker, others, context.m_now, sends);
-        append(context.m_out, sends);
-        context.m_out.m_log.push_back(
-            {log_level::info, "broker: ownership taken service=" + service.str()});
-    }
-    return broker;
-}
-
-bool owns(const node_state& node, const service_id& service, time_point now)
-{
-    return rendezvous_owner(node.m_members.serving(now), stable_hash(service.str())) ==
-           node.m_settings.m_self.m_host;
-}
-
-ledger_context make_ledger_context(const step_context& context)
-{
-    const node_state& node = context.m_node;
-    ledger_context result;
-    result.m_self = node.m_settings.m_self.m_host;
-    result.m_incarnation = node.m_settings.m_self.m_incarnation;
-    result.m_now = context.m_now;
-    result.m_epoch_valid = epoch_is_valid(node, context.m_now);
-    result.m_origin_alive = [&node, now = context.m_now](std::uint64_t origin) {
-        for (const auto& [host, entry] : node.m_members.entries()) {
-            const std::uint64_t candidate = process_origin(host, entry.m_member.m_incarnation);
-            if (candidate == origin) {
-                return node.m_members.is_alive(host, now);
-            }
-        }
-        return false;
-    };
-    return result;
-}
-
-void append(const step_context& context, ledger_output& decided)
-{
-    for (auto& send : decided.m_sends) {
-        context.m_out.m_sends.push_back(std::move(send));
-    }
-    for (const claim_verdict& verdict : decided.m_verdicts) {
-        context.m_out.m_edge.emplace_back(key_decided{verdict.m_request, verdict.m_kind,
-                                                      verdict.m_http_status, verdict.m_valid_until,
-                                                      context.m_node.m_ledger.m_epoch.m_number});
-    }
-}
-
-void follow_epoch_record(const step_context& context)
-{
-    node_state& node = context.m_node;
-    const config_record* record = node.m_config.find(std::string(epoch_key));
-    if (record == nullptr || record->m_revision <= node.m_epoch_revision) {
-        return;
-    }
-    node.m_epoch_revision = record->m_revision;
-    const std::optional<epoch_record> next = parse_epoch(record->m_value);
-    if (next) {
-        enter_epoch(node.m_ledger, *next, make_ledger_context(context));
-        context.m_out.m_log.push_back(
-            {log_level::info, "epoch: entered number=" + std::to_string(next->m_number.get())});
-    }
-}
-
-/// Handles each message of a packet, one overload for each kind of message.
-struct message_handler {
-    const step_context& m_context;
-    const host_id& m_from;
-
-    void operator()(const heartbeat_message& message) const
-    {
-        on_heartbeat(node(), m_from, message, now(), out());
-    }
-    void operator()(const member_ask_message& message) const
-    {
-        on_member_ask(node(), m_from, message, out());
-    }
-    void operator()(const member_tell_message& message) const
-    {
-        for (const member& one : message.m_members) {
-            node().m_members.merge(one, now());
-        }
-    }
-    void operator()(const record_message& message) const
-    {
-        on_records(node(), m_from, message, now(), m_context.m_wall, out());
-    }
-    void operator()(const record_ack_message& message) const
-    {
-        on_record_ack(node(), m_from, message, out());
-    }
-    void operator()(const digest_message& message) const
-    {
-        on_digest(node(), m_from, message, out());
-    }
-    void operator()(const version_message& message) const
-    {
-        on_versions(node(), m_from, message, now(), out());
-    }
-    void operator()(const record_ask_message& message) const
-    {
-        on_record_ask(node(), m_from, message, out());
-    }
-    void operator()(const probe_message& message) const
-    {
-        out().m_sends.emplace_back(m_from, probe_ack_message{message.m_nonce});
-    }
-    void operator()(const probe_ack_message& /*message*/) const {}
-    void operator()(const slot_ask_message& message) const
-    {
-        if (!owns(node(), message.m_service, now())) {
-            out().m_sends.emplace_back(m_from, slot_not_owner_message{message.m_request});
-            const std::optional<host_id> silent = host_by_hash(node(), message.m_silent_owner);
-            if (silent && *silent != node().m_settings.m_self.m_host) {
-                probe_host(node(), *silent, now(), out());
-            }
-            return;
-        }
-        broker_output sends;
-        slot_broker& broker = own_broker(m_context, message.m_service);
-        on_slot_ask(broker, m_from, message, make_lookup(m_context), now(), sends);
-        append(out(), sends);
-    }
-    void operator()(const slot_queued_message& message) const
-    {
-        on_slot_queued(node(), m_from, message, now());
-    }
-    void operator()(const slot_grant_message& message) const
-    {
-        on_slot_grant(node(), m_from, message, out());
-    }
-    void operator()(const slot_refusal_message& message) const
-    {
-        on_slot_refusal(node(), message, out());
-    }
-    void operator()(const slot_not_owner_message& message) const
-    {
-        on_slot_not_owner(node(), message, now());
-    }
-    void operator()(const slot_release_message& message) const
-    {
-        const auto broker = node().m_brokers.find(message.m_service);
-        if (broker == node().m_brokers.end()) {
-            return;
-        }
-        broker_output sends;
-        on_slot_release(broker->second, message, make_lookup(m_context), now(), sends);
-        append(out(), sends);
-    }
-    void operator()(const holdings_ask_message& message) const
-    {
-        out().m_sends.emplace_back(m_from, list_holdings(node(), message));
-    }
-    void operator()(const holdings_message& message) const
-    {
-        const auto broker = node().m_brokers.find(message.m_service);
-        if (broker == node().m_brokers.end()) {
-            return;
-        }
-        broker_output sends;
-        on_holdings(broker->second, m_from, message, make_lookup(m_context), now(), sends);
-        append(out(), sends);
-    }
-    void operator()(const status_ask_message& message) const
-    {
-        out().m_sends.emplace_back(
-            m_from, describe_customer(node(), message.m_customer, message.m_ask, m_context.m_wall));
-    }
-    void operator()(const status_tell_message& message) const
-    {
-        on_status_tell(node(), m_from, message);
-    }
-    void operator()(const key_claim_message& message) const
-    {
-        ledger_output decided;
-        on_key_claim(ledger(), m_from, message, make_ledger_context(m_context), decided);
-        append(m_context, decided);
-    }
-    void operator()(const key_copy_message& message) const
-    {
-        ledger_output decided;
-        on_key_copy(ledger(), m_from, message, make_ledger_context(m_context), decided);
-        append(m_context, decided);
-    }
-    void operator()(const key_copied_message& message) const
-    {
-        ledger_output decided;
-        on_key_copied(ledger(), m_from, message, decided);
-        append(m_context, decided);
-    }
-    void operator()(const key_verdict_message& message) const
-    {
-        ledger_output decided;
-        on_key_verdict(ledger(), message, decided);
-        append(m_context, decided);
-    }
-    void operator()(const key_transfer_ask_message& message) const
-    {
-        ledger_output decided;
-        on_key_transfer_ask(ledger(), m_from, message, make_ledger_context(m_context), decided);
-        append(m_context, decided);
-    }
-    void operator()(const key_transfer_message& message) const
-    {
-        on_key_transfer(ledger(), m_from, message, make_ledger_context(m_context));
-    }
-
-private:
-    [[nodiscard]] node_state& node() const { return m_context.m_node; }
-    [[nodiscard]] key_ledger& ledger() const { return m_context.m_node.m_ledger; }
-    [[nodiscard]] time_point now() const { return m_context.m_now; }
-    [[nodiscard]] node_output& out() const { return m_context.m_out; }
-};
-
 void take_packet(const step_context& context, const peer_packet& packet)
 {
     node_state& node = context.m_node;
@@ -281,7 +30,7 @@
     node.m_members.heard_from(packet.m_sender, packet.m_incarnation, context.m_now);
     node.m_last_outside_contact = context.m_now;
     for (const peer_message& message : packet.m_messages) {
-        std::visit(message_handler{context, packet.m_sender}, message);
+        handle_message(context, packet.m_sender, message);
     }
 }
 
@@ -326,39 +75,6 @@
     }
 }
 
-/// Gives up every queue that another process owns now.
-void drop_lost_ownerships(const step_context& context)
-{
-    node_state& node = context.m_node;
-    for (auto it = node.m_brokers.begin(); it != node.m_brokers.end();) {
-        if (owns(node, it->first, context.m_now)) {
-            ++it;
-            continue;
-        }
-        for (const auto& [request, holder] : waiting_holders(it->second)) {
-            context.m_out.m_sends.emplace_back(holder, slot_not_owner_message{request});
-        }
-        context.m_out.m_log.push_back(
-            {log_level::info, "broker: ownership given up service=" + it->first.str()});
-        it = node.m_brokers.erase(it);
-    }
-}
-
-void tick_brokers(const step_context& context)
-{
-    drop_lost_ownerships(context);
-    broker_output sends;
-    for (auto& [service, broker] : context.m_node.m_brokers) {
-        for (const host_id& holder : holders_of(broker)) {
-            if (!context.m_node.m_members.is_alive(holder, context.m_now)) {
-                on_holder_gone(broker, holder, context.m_now);
-            }
-        }
-        on_broker_tick(broker, make_lookup(context), context.m_now, sends);
-    }
-    append(context.m_out, sends);
-}
-
 void begin_stop(const step_context& context)
 {
     node_state& node = context.m_node;
@@ -408,7 +124,7 @@
         }
         sends.erase(rest, sends.end());
         for (const peer_message& message : local) {
-            std::visit(message_handler{context, self}, message);
+            handle_message(context, self, message);
         }
     }
 }
--- a/src/node/operator_work.h
+++ b/src/node/operator_work.h
@@ -12,10 +12,6 @@
 bool on_operator_store_result(node_state& node, const store_result& result, time_point now,
                               wall_time wall, node_output& out);
 
-/// Takes a peer's confirmation that records are in force there.
-void on_record_ack(node_state& node, const host_id& from, const record_ack_message& ack,
-                   node_output& out);
-
 /// Answers a peer's question about a customer.
 status_tell_message describe_customer(const node_state& node, const customer_id& customer,
                                       std::uint64_t ask, wall_time wall);
--- a/src/replay/event_queue.h
+++ b/src/replay/event_queue.h
@@ -19,7 +19,11 @@
     }
 
     /// Carries out the next action; false when there is none before the limit.
-    bool step(time_point limit)
+    bool step(time_point limit) { return step(limit, m_now); }
+
+    /// Carries out the next action and sets a clock of the caller's to its moment first; false when
+    /// there is none before the limit.
+    bool step(time_point limit, time_point& clock)
     {
         if (m_events.empty() || m_events.top().m_at > limit) {
             return false;
@@ -27,6 +31,7 @@
         const timed next = m_events.top();
         m_events.pop();
         m_now = next.m_at;
+        clock = m_now;
         next.m_action();
         return true;
     }
--- a/tests/support/virtual_hosts.cpp
+++ b/tests/support/virtual_hosts.cpp
@@ -29,19 +29,10 @@
     return start_of_calendar + std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch());
 }
 
-void virtual_hosts::at(time_point when, std::function<void()> action)
-{
-    m_events.push({when, m_order++, std::move(action)});
-}
-
 void virtual_hosts::run_for(duration length)
 {
     const time_point until = m_now + length;
-    while (!m_events.empty() && m_events.top().m_at <= until) {
-        const timed next = m_events.top();
-        m_events.pop();
-        m_now = next.m_at;
-        next.m_action();
+    while (m_events.step(until, m_now)) {
     }
     m_now = until;
 }
@@ -69,7 +60,8 @@
     const std::uint64_t run = m_hosts[name].m_run + 1;
     m_hosts[name] =
         host{std::make_unique<node_state>(std::move(settings), m_now), false, false, {}, {}, run};
-    at(m_now + microseconds(m_random() % 50'000), [this, name, run] { tick_host(name, run); });
+    m_events.at(m_now + microseconds(m_random() % 50'000),
+                [this, name, run] { tick_host(name, run); });
 }
 
 void virtual_hosts::kill(const std::string& name)
@@ -78,7 +70,7 @@
     const lease_id lease = one.m_node->m_lease.m_lease;
     one.m_node.reset();
     ++one.m_run;
-    at(m_now + seconds(10), [this, lease] { m_store.end_lease(lease); });
+    m_events.at(m_now + seconds(10), [this, lease] { m_store.end_lease(lease); });
 }
 
 void virtual_hosts::stop(const std::string& name)
@@ -101,7 +93,7 @@
         action();
     }
     const std::uint64_t run = one.m_run;
-    at(m_now, [this, name, run] { tick_host(name, run); });
+    m_events.at(m_now, [this, name, run] { tick_host(name, run); });
 }
 
 void virtual_hosts::tick_host(const std::string& name, std::uint64_t run)
@@ -114,7 +106,7 @@
     follow_store(name, one);
     tick(*one.m_node, m_now, wall(), out);
     carry_out(name, out);
-    at(m_now + tick_interval, [this, name, run] { tick_host(name, run); });
+    m_events.at(m_now + tick_interval, [this, name, run] { tick_host(name, run); });
 }
 
 void virtual_hosts::follow_store(const std::string& name, host& one)
@@ -170,7 +162,7 @@
         return;
     }
     const std::uint64_t run = target->second.m_run;
-    at(m_now + delay, [this, to, packet, run] {
+    m_events.at(m_now + delay, [this, to, packet, run] {
         if (m_hosts.at(to).m_run == run) {
             send_event(to, packet_received{packet});
         }
@@ -221,7 +213,7 @@
             result = m_store.call(call);
         }
         const std::uint64_t run = one.m_run;
-        at(m_now + store_delay, [this, name, run, result] {
+        m_events.at(m_now + store_delay, [this, name, run, result] {
             if (m_hosts.at(name).m_run == run) {
                 send_event(name, store_event(result));
             }
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -3,13 +3,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "node/node.h"
+#include "replay/event_queue.h"
 #include "support/fake_store.h"
 
 namespace guavabay::test {
@@ -123,17 +123,6 @@
         std::uint64_t m_run = 0; ///< Counts starts, so that nothing reaches a later process.
     };
 
-    struct timed {
-        time_point m_at;
-        std::uint64_t m_order = 0;
-        std::function<void()> m_action;
-        bool operator<(const timed& other) const
-        {
-            return m_at != other.m_at ? m_at > other.m_at : m_order > other.m_order;
-        }
-    };
-
-    void at(time_point when, std::function<void()> action);
     void tick_host(const std::string& name, std::uint64_t run);
     void send_event(const std::string& name, node_event event);
     void carry_out(const std::string& name, node_output& out);
@@ -144,9 +133,8 @@
     [[nodiscard]] wall_time wall() const;
 
     time_point m_now{seconds(1000)};
-    std::uint64_t m_order = 0;
     std::mt19937_64 m_random;
-    std::priority_queue<timed> m_events;
+    event_queue m_events;
     std::map<std::string, host> m_hosts;
     std::map<std::uint64_t, operator_answer> m_answers;
     std::map<request_id, edge_answer> m_edge;
