--- a/src/app/contract_command.cpp
+++ b/src/app/contract_command.cpp
@@ -11,6 +11,7 @@
 
 #include "app/exit_status.h"
 #include "app/operator_client.h"
+#include "app/operator_reply.h"
 #include "contract/contract_parser.h"
 #include "core/result.h"
 
@@ -22,7 +23,6 @@
 namespace {
 
 constexpr milliseconds poll_interval{100};
-constexpr unsigned ok_status = 200;
 
 /// A contract file with its text and the customer that it names.
 struct contract_file {
@@ -93,53 +93,6 @@
     return text.str();
 }
 
-std::string path_of(const std::string& customer, const std::string& action = {})
-{
-    const std::string path = "/v1/contracts/" + customer;
-    return action.empty() ? path : path + "/" + action;
-}
-
-/// The detail of an error answer, or its text.
-std::string reason_in(const std::string& body)
-{
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object()) {
-        return body;
-    }
-    const json::object& object = value.get_object();
-    std::string reason;
-    for (const char* name : {"error", "text", "detail"}) {
-        const json::value* part = object.if_contains(name);
-        if (part != nullptr && part->is_string()) {
-            reason += reason.empty() ? "" : ": ";
-            reason += std::string(part->get_string().data(), part->get_string().size());
-        }
-    }
-    return reason;
-}
-
-std::string error_in(const std::string& body)
-{
-    boost::system::error_code error;
-    const json::value value = json::parse(body, error);
-    if (error || !value.is_object() || !value.get_object().contains("error")) {
-        return {};
-    }
-    const json::value& name = value.get_object().at("error");
-    return name.is_string() ? std::string(name.get_string().data(), name.get_string().size())
-                            : std::string();
-}
-
-std::vector<std::string> missing_in(const json::object& status)
-{
-    std::vector<std::string> missing;
-    for (const json::value& entry : status.at("missing").as_array()) {
-        missing.emplace_back(entry.as_string().c_str());
-    }
-    return missing;
-}
-
 /// Waits until a version is in force everywhere; prints what is missing when time is up.
 int wait_in_force(operator_client& client, const std::string& customer, std::int64_t version,
                   seconds patience)
@@ -232,21 +185,6 @@
     return worst;
 }
 
-int print_reply(operator_client& client, const operator_call& call)
-{
-    const std::optional<operator_reply> reply = client.call(call);
-    if (!reply) {
-        std::cerr << last_reason() << "\n";
-        return exit_failure;
-    }
-    if (reply->m_status != ok_status) {
-        std::cerr << reason_in(reply->m_body) << "\n";
-        return exit_failure;
-    }
-    std::cout << reply->m_body << "\n";
-    return exit_success;
-}
-
 int print_list(operator_client& client, bool as_json)
 {
     const operator_call call{http::verb::get, "/v1/contracts", "", {}};
@@ -326,65 +264,6 @@
     return exit_usage;
 }
 
-std::string state_line(const json::value& entry)
-{
-    if (entry.as_object().contains("unable_to_serve")) {
-        return "unable to serve";
-    }
-    std::ostringstream text;
-    text << "version " << entry.at("version_in_force").as_int64() << ", access "
-         << entry.at("access").as_string().c_str() << ", " << entry.at("waiting").to_number<int>()
-         << " waiting, " << entry.at("running").to_number<int>() << " running";
-    return text.str();
-}
-
-int print_customer_status(operator_client& client, const std::string& name, bool as_json)
-{
-    const operator_call call{http::verb::get, path_of(name, "status"), "", {}};
-    if (as_json) {
-        return print_reply(client, call);
-    }
-    const std::optional<operator_reply> reply = client.call(call);
-    if (!reply || reply->m_status != ok_status) {
-        std::cerr << name << ": " << (reply ? reason_in(reply->m_body) : last_reason()) << "\n";
-        return exit_failure;
-    }
-    const json::value status = json::parse(reply->m_body);
-    const bool everywhere = status.at("in_force_everywhere").as_bool();
-    std::cout << name << " version " << status.at("version").as_int64() << " "
-              << status.at("state").as_string().c_str() << " since "
-              << status.at("changed_at").as_string().c_str()
-              << (everywhere ? ", in force everywhere" : ", not in force everywhere") << "\n";
-    for (const json::value& entry : status.at("hosts").as_array()) {
-        std::cout << "  " << entry.at("host").as_string().c_str() << ": " << state_line(entry)
-                  << "\n";
-    }
-    for (const std::string& line : missing_in(status.as_object())) {
-        std::cout << "  missing: " << line << "\n";
-    }
-    return everywhere ? exit_success : exit_not_in_force;
-}
-
-int print_members(operator_client& client)
-{
-    const std::optional<operator_reply> reply =
-        client.call({http::verb::get, "/v1/members", "", {}});
-    if (!reply || reply->m_status != ok_status) {
-        std::cerr << (reply ? reason_in(reply->m_body) : last_reason()) << "\n";
-        return exit_failure;
-    }
-    const json::value value = json::parse(reply->m_body);
-    std::cout << "store " << (value.at("store_reachable").as_bool() ? "reachable" : "unreachable")
-              << ", epoch " << value.at("epoch").to_number<std::int64_t>() << "\n";
-    for (const json::value& entry : value.at("members").as_array()) {
-        std::cout << entry.at("host").as_string().c_str() << " zone "
-                  << entry.at("zone").as_string().c_str() << " "
-                  << entry.at("phase").as_string().c_str()
-                  << (entry.at("alive").as_bool() ? " alive" : " silent") << "\n";
-    }
-    return exit_success;
-}
-
 } // namespace
 
 int run_contract(const std::vector<std::string>& arguments)
@@ -432,26 +311,4 @@
     return worst;
 }
 
-int run_status(const std::vector<std::string>& arguments)
-{
-    const std::optional<parsed_command> parsed =
-        parse_command("status", "Shows entry hosts and what is in force on them.",
-                      declare_operator_settings(), "NAME...", arguments);
-    if (!parsed) {
-        std::cerr << "guavabay status: " << last_reason() << "\n";
-        return exit_usage;
-    }
-    operator_client client = make_operator_client(parsed->m_values);
-    const bool as_json = parsed->m_values.text("json") == "yes";
-    if (parsed->m_operands.empty()) {
-        return as_json ? print_reply(client, {http::verb::get, "/v1/members", "", {}})
-                       : print_members(client);
-    }
-    int worst = exit_success;
-    for (const std::string& name : parsed->m_operands) {
-        worst = std::max(worst, print_customer_status(client, name, as_json));
-    }
-    return worst;
-}
-
 } // namespace guavabay
--- a/src/app/fleet_command.cpp
+++ b/src/app/fleet_command.cpp
@@ -4,8 +4,7 @@
 #include <iostream>
 
 #include "app/exit_status.h"
-#include "app/operator_client.h"
-#include "core/json_fields.h"
+#include "app/operator_reply.h"
 #include "core/result.h"
 
 namespace guavabay {
@@ -14,8 +13,6 @@
 
 namespace {
 
-constexpr unsigned ok_status = 200;
-
 std::vector<setting> fleet_settings()
 {
     std::vector<setting> settings = declare_operator_settings();
@@ -75,10 +72,8 @@
             std::cout << reply->m_body << "\n";
             return exit_success;
         }
-        const auto body = parse_json_object(reply->m_body);
-        reason =
-            body ? text_field(*body, "error") + ": " + text_field(*body, "detail") : reply->m_body;
-        if (!body || text_field(*body, "error") != "owner_unreachable") {
+        reason = reason_in(reply->m_body);
+        if (error_in(reply->m_body) != "owner_unreachable") {
             break;
         }
     }
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -10,6 +10,7 @@
 #include "app/replay_command.h"
 #include "app/serve.h"
 #include "app/serve_settings.h"
+#include "app/status_command.h"
 #include "app/version.h"
 
 namespace {
