Make the test of a planned stop notice an early end

Found by breaking the code in a scratch copy: with the wait for running requests taken out, all 107 cases passed. Cause: the test looked only at the answer, which the test's own loop still delivered. It now checks that no request is served when the edge says that nothing is left. Before: passes when broken; after: fails with 1 request cut off, and passes on the sound code.

--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -328,6 +328,7 @@
     bench.run_until([&] { return !bench.m_endpoint.m_complete.empty(); });
     bench.m_server.stop();
     bench.run_until([&] { return bench.m_idle; });
+    CHECK(bench.m_server.active_requests() == 0);
     bench.run_until([&] { return bench.m_exchanges == 0; });
     CHECK(has(got, "200 OK"));
     CHECK(has(got, "Connection: close"));
