Run the whole path on processes as a test

Cause: the path through separate processes ran only as a demo, whose checks of the wave and of the old key did not end it. Both do now, on every entry host, and the demo is a test.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,19 +36,25 @@
     --pools conversion:8,administrative:4
 sleep 2
 "$BUILD/guavabay" wave start --operators "$operators" --number 1 --spare administrative
-for _ in $(seq 1 200); do
+for _ in $(seq 1 300); do
     "$BUILD/guavabay" wave status --operators "$operators" >"$WORK/wave"
     grep -q '"done":12' "$WORK/wave" && break
     sleep 0.1
 done
 cat "$WORK/wave"
+grep -q '"done":12' "$WORK/wave"
 "$BUILD/guavabay" fleet move --operators "$operators" --pool conversion --dry-run yes administrative-1
 
 echo "== end the contract and prove that its traffic has stopped"
 "$BUILD/guavabay" contract end --operators "$operators" --wait 8 registrars
 "$BUILD/guavabay" contract proof --operators "$operators" --wait 8 registrars
-fetch "127.0.0.1:$((base_port + 202))/convert/feast" -H 'Authorization: Bearer demo-key'
-echo
+for number in 1 2 3; do
+    fetch "127.0.0.1:$((base_port + 200 + number))/convert/feast" \
+        -H 'Authorization: Bearer demo-key' >"$WORK/refused"
+    cat "$WORK/refused"
+    echo
+    grep -q '"error":"no_contract"' "$WORK/refused"
+done
 
 echo "== planned stop of all entry hosts"
 for number in 1 2 3; do stop_process "h$number" TERM; done
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -214,7 +214,6 @@
     const duration allowed = std::min<duration>(wanted.value_or(context.m_grant->m_queue_deadline),
                                                 context.m_grant->m_queue_deadline);
     context.m_slot_deadline = context.m_started + allowed;
-    context.m_deadline = context.m_slot_deadline + context.m_grant->m_run_limit;
     const auto key = request.find(beast::string_view(key_header.data(), key_header.size()));
     if (key == request.end() || context.m_idempotent) {
         return std::nullopt;
--- a/src/edge/request_flow.h
+++ b/src/edge/request_flow.h
@@ -56,7 +56,6 @@
         config_view_ptr m_view; ///< Keeps the grant alive.
         bool m_idempotent = true;
         time_point m_started{};
-        time_point m_deadline{};
         time_point m_slot_deadline{};
         std::optional<key_record> m_key;
         time_point m_key_valid_until = time_point::max();
