--- a/src/broker/slot_broker.cpp
+++ b/src/broker/slot_broker.cpp
@@ -11,7 +11,7 @@
 constexpr milliseconds grant_flight_time{300}; ///< A grant younger than this may be under way.
 constexpr seconds busy_slot_rest{5};           ///< Rest of a slot whose request gave no answer.
 constexpr double mean_weight = 0.1;            ///< Weight of a new sample in the moving average.
-constexpr std::size_t expected_slots = 128; ///< Room made for a service's slots at the start.
+constexpr std::size_t expected_slots = 128;    ///< Room made for a service's slots at the start.
 
 void refuse(const waiting_request& request, error_kind kind, broker_output& out)
 {
--- a/src/fleet/task_board.cpp
+++ b/src/fleet/task_board.cpp
@@ -2,103 +2,12 @@
 
 #include <algorithm>
 
-#include "core/check.h"
+#include "fleet/task_accounting.h"
 
 namespace guavabay {
 
 namespace {
 
-constexpr std::size_t tasks_to_blame_worker = 3;
-constexpr std::size_t workers_to_blame_task = 3; ///< Workers that are not quarantined.
-constexpr std::size_t most_workers_tried = 8;
-constexpr seconds first_quarantine{60};
-constexpr std::uint32_t longest_quarantine_doublings = 6;
-
-bool is_final(task_state state)
-{
-    return state == task_state::done || state == task_state::cancelled ||
-           state == task_state::refused;
-}
-
-bool holds_worker(task_state state)
-{
-    return state == task_state::starting || state == task_state::running ||
-           state == task_state::checkpointing;
-}
-
-bool is_quarantined(const worker_state& worker, time_point now)
-{
-    return now < worker.m_quarantined_until;
-}
-
-void unindex(task_board& board, const worker_state& worker)
-{
-    board.m_by_free[worker.m_pool].erase({worker.m_free.m_cpu_millis, worker.m_id});
-}
-
-void index(task_board& board, const worker_state& worker)
-{
-    if (worker.m_accepting) {
-        board.m_by_free[worker.m_pool].insert({worker.m_free.m_cpu_millis, worker.m_id});
-    }
-}
-
-void enqueue(task_board& board, const task& one)
-{
-    auto& queue = one.m_urgent ? board.m_urgent[one.m_pool] : board.m_normal[one.m_pool];
-    queue.push_back(one.m_id);
-}
-
-/// Tasks that wait for a customer's quota get their turn again.
-void unblock(task_board& board, const customer_id& customer)
-{
-    const auto found = board.m_blocked.find(customer);
-    if (found == board.m_blocked.end()) {
-        return;
-    }
-    for (const task_id& id : found->second) {
-        enqueue(board, board.m_tasks.at(id));
-    }
-    board.m_blocked.erase(found);
-}
-
-/// Gives back what a task holds of its worker and quota.
-void release(task_board& board, task& one)
-{
-    if (!holds_worker(one.m_state)) {
-        return;
-    }
-    const auto found = board.m_workers.find(one.m_worker);
-    if (found != board.m_workers.end()) {
-        worker_state& worker = found->second;
-        unindex(board, worker);
-        worker.m_free = worker.m_free + one.m_reserved;
-        worker.m_tasks.erase(one.m_id);
-        index(board, worker);
-    }
-    quota_use& use = board.m_uses[one.m_customer];
-    check(use.m_running > 0, "a task that holds a worker counts in its quota");
-    --use.m_running;
-    use.m_reserved = use.m_reserved - one.m_reserved;
-    one.m_worker = {};
-    unblock(board, one.m_customer);
-}
-
-void wait_again(task_board& board, task& one, std::string reason)
-{
-    release(board, one);
-    one.m_state = task_state::waiting;
-    one.m_reason = std::move(reason);
-    enqueue(board, one);
-}
-
-void refuse(task_board& board, task& one, std::string reason)
-{
-    release(board, one);
-    one.m_state = task_state::refused;
-    one.m_reason = std::move(reason);
-}
-
 resources quota_of(const task_grant& grant)
 {
     return {static_cast<std::int64_t>(grant.m_cpu_millis),
@@ -275,48 +184,6 @@
     queue = std::move(remaining);
 }
 
-/// The task when the report belongs to its present attempt; null otherwise.
-task* current(task_board& board, const task_id& id, std::uint64_t attempt)
-{
-    const auto found = board.m_tasks.find(id);
-    const bool matches = found != board.m_tasks.end() && found->second.m_attempt == attempt &&
-                         holds_worker(found->second.m_state);
-    return matches ? &found->second : nullptr;
-}
-
-/// Workers on which a task failed and which are not held to be at fault themselves.
-std::size_t failures_on_sound_workers(const task_board& board, const task& one, time_point now)
-{
-    std::size_t count = 0;
-    for (const worker_id& id : one.m_failed_on) {
-        const auto worker = board.m_workers.find(id);
-        count += worker != board.m_workers.end() && !is_quarantined(worker->second, now) ? 1U : 0U;
-    }
-    return count;
-}
-
-/// Keeps a worker out of use, longer each time.
-void quarantine(worker_state& worker, time_point now)
-{
-    const std::uint32_t doublings = std::min(worker.m_quarantines, longest_quarantine_doublings);
-    worker.m_quarantined_until = now + first_quarantine * (1 << doublings);
-    ++worker.m_quarantines;
-    worker.m_blamed_by.clear();
-}
-
-/// Keeps a worker out of use on which several tasks failed whose like ends well elsewhere. A
-/// failure of a kind that has never ended well says nothing about the worker.
-void judge_worker(const task_board& board, worker_state& worker, time_point now)
-{
-    std::size_t telling = 0;
-    for (const auto& [id, kind] : worker.m_blamed_by) {
-        telling += board.m_usage.has_succeeded(kind.first, kind.second) ? 1U : 0U;
-    }
-    if (telling >= tasks_to_blame_worker) {
-        quarantine(worker, now);
-    }
-}
-
 } // namespace
 
 void put_worker(task_board& board, const worker_id& id, const pool_id& pool,
@@ -382,94 +249,6 @@
     }
 }
 
-void on_task_started(task_board& board, const task_id& id, std::uint64_t attempt,
-                     std::vector<task_order>& orders)
-{
-    task* one = current(board, id, attempt);
-    if (one != nullptr && one->m_state == task_state::starting) {
-        one->m_state = task_state::running;
-    }
-    const auto found = board.m_tasks.find(id);
-    if (one == nullptr && found != board.m_tasks.end()) {
-        orders.push_back({task_order::verb::stop, id, found->second.m_worker, attempt});
-    }
-}
-
-void on_task_checkpointed(task_board& board, const task_id& id, std::uint64_t attempt)
-{
-    task* one = current(board, id, attempt);
-    if (one != nullptr && one->m_state == task_state::checkpointing) {
-        wait_again(board, *one, "saved, waits for room");
-    }
-}
-
-void on_task_done(task_board& board, const task_id& id, std::uint64_t attempt,
-                  const resources& used, time_point now)
-{
-    task* one = current(board, id, attempt);
-    if (one == nullptr) {
-        return;
-    }
-    const bool first_success = !board.m_usage.has_succeeded(one->m_customer, one->m_kind);
-    board.m_usage.observe(one->m_customer, one->m_kind, one->m_declared, used);
-    const auto worker = board.m_workers.find(one->m_worker);
-    if (worker != board.m_workers.end()) {
-        worker->second.m_blamed_by.clear();
-        worker->second.m_quarantines = 0;
-    }
-    if (first_success) {
-        for (auto& [other, suspect] : board.m_workers) {
-            judge_worker(board, suspect, now);
-        }
-    }
-    release(board, *one);
-    one->m_state = task_state::done;
-    one->m_reason = "done";
-}
-
-void on_task_failed(task_board& board, const task_id& id, std::uint64_t attempt, time_point now)
-{
-    task* one = current(board, id, attempt);
-    if (one == nullptr) {
-        return;
-    }
-    const worker_id place = one->m_worker;
-    one->m_failed_on.insert(place);
-    const auto worker = board.m_workers.find(place);
-    wait_again(board, *one, "failed on " + place.str());
-    if (worker != board.m_workers.end() && !is_quarantined(worker->second, now)) {
-        worker->second.m_blamed_by[id] = {one->m_customer, one->m_kind};
-        judge_worker(board, worker->second, now);
-    }
-    const std::size_t sound_workers = failures_on_sound_workers(board, *one, now);
-    if (sound_workers < workers_to_blame_task && one->m_failed_on.size() < most_workers_tried) {
-        return;
-    }
-    for (const worker_id& blamed : one->m_failed_on) {
-        const auto cleared = board.m_workers.find(blamed);
-        if (cleared != board.m_workers.end()) {
-            cleared->second.m_blamed_by.erase(id);
-        }
-    }
-    refuse(board, *one, "it failed on " + std::to_string(one->m_failed_on.size()) + " workers");
-}
-
-void on_worker_lost(task_board& board, const worker_id& id)
-{
-    const auto found = board.m_workers.find(id);
-    if (found == board.m_workers.end()) {
-        return;
-    }
-    const std::set<task_id> lost = found->second.m_tasks;
-    for (const task_id& one : lost) {
-        task& entry = board.m_tasks.at(one);
-        ++entry.m_lapses;
-        wait_again(board, entry, "its worker was lost");
-    }
-    unindex(board, found->second);
-    board.m_workers.erase(found);
-}
-
 std::string explain_task(const task_board& board, const task_id& id)
 {
     const auto found = board.m_tasks.find(id);
