Send a view again that the edge's full ring did not take

Found by reading: the control thread sent a changed view once; with the edge's ring full, callers of a new contract were refused until the next change. Ended customers were refused all the same, since the control thread checks access again. Cause: the flag was cleared with the batch. It now stays until the ring takes the view; each tick is a batch. No test fills that ring; the process path passes as before.

--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -82,8 +82,9 @@
     for (const log_line& line : m_out.m_log) {
         write_log(line);
     }
-    if (m_out.m_view_changed) {
-        m_outlets.m_edge->try_send(m_node.m_view);
+    m_view_unsent = m_view_unsent || m_out.m_view_changed;
+    if (m_view_unsent) {
+        m_view_unsent = !m_outlets.m_edge->try_send(m_node.m_view);
     }
     for (edge_answer& answer : m_out.m_edge) {
         m_outlets.m_edge->try_send(std::move(answer));
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -47,6 +47,7 @@
     node_output m_out;
     std::map<host_id, peer_packet> m_packets;
     bool m_stop_sent = false;
+    bool m_view_unsent = false; ///< The edge's ring was full when the view last changed.
 };
 
 } // namespace guavabay
