Find other entry hosts by the store's list, not by the settings alone

Found by a test that replaced all entry hosts at other addresses: each new host held itself for the only one, so every one of them owned every queue and every duty. Ruled out: the store (each new host had read the records of the others). Hosts now also greet the listed addresses at which they know nobody. Before: 1 of 3 hosts known to each after 8 s; after: 3 of 3.

--- a/src/node/membership_duties.cpp
+++ b/src/node/membership_duties.cpp
@@ -1,7 +1,9 @@
 #include "node/membership_duties.h"
 
 #include <algorithm>
+#include <set>
 
+#include "core/json_fields.h"
 #include "node/config_sync.h"
 
 namespace guavabay {
@@ -39,6 +41,22 @@
     return others;
 }
 
+/// Addresses from the settings and from the store's list of entry hosts at which nobody is known.
+std::set<std::string> addresses_to_greet(const node_state& node)
+{
+    std::set<std::string> addresses(node.m_settings.m_seed_addresses.begin(),
+                                    node.m_settings.m_seed_addresses.end());
+    node.m_config.for_each(std::string(member_prefix), [&addresses](const config_record& record) {
+        const auto fields = parse_json_object(record.m_value);
+        addresses.insert(fields ? text_field(*fields, "peer_address") : std::string());
+    });
+    addresses.erase("");
+    std::erase_if(addresses, [&node](const std::string& address) {
+        return is_known_address(node, address);
+    });
+    return addresses;
+}
+
 } // namespace
 
 void on_heartbeat_tick(node_state& node, time_point now, node_output& out)
@@ -55,10 +73,8 @@
     for (std::size_t i = 0; i < count; ++i) {
         out.m_sends.emplace_back(others[node.m_heartbeat_turn++ % others.size()], heartbeat);
     }
-    for (const std::string& address : node.m_settings.m_seed_addresses) {
-        if (!is_known_address(node, address)) {
-            out.m_address_sends.emplace_back(address, heartbeat);
-        }
+    for (const std::string& address : addresses_to_greet(node)) {
+        out.m_address_sends.emplace_back(address, heartbeat);
     }
 }
 
--- a/tests/node/membership_test.cpp
+++ b/tests/node/membership_test.cpp
@@ -19,6 +19,22 @@
 
 } // namespace
 
+TEST_CASE("hosts that replace all others at other addresses find each other by the store")
+{
+    virtual_hosts hosts(3);
+    hosts.run_for(seconds(5));
+    for (const char* name : {"h1", "h2", "h3"}) {
+        hosts.kill(name);
+    }
+    for (const char* name : {"h4", "h5", "h6"}) {
+        hosts.start(name, "z" + std::to_string(name[1] - '3'));
+    }
+    hosts.run_for(seconds(8));
+    for (const char* name : {"h4", "h5", "h6"}) {
+        CHECK(hosts.node(name).m_members.serving(hosts.now()).size() == 3);
+    }
+}
+
 TEST_CASE("each of 64 hosts holds all others to be alive, also when packets are lost")
 {
     for (const double loss : {0.0, 0.02}) {
