--- a/bench/decisions_bench.cpp
+++ b/bench/decisions_bench.cpp
@@ -62,7 +62,7 @@
         host.m_rack = rack_id("r" + std::to_string(i / 20));
         host.m_zone = zone_id("z" + std::to_string(i / 20 % 8));
         host.m_pool = pool_id("p" + std::to_string(i % pools));
-        fleet.m_reports[host.m_id] = {true, false, {}, {}};
+        fleet.m_reports[host.m_id].m_up = true;
         fleet.m_hosts[host.m_id] = host;
     }
     for (std::int64_t i = 0; i < pools; ++i) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -33,7 +33,7 @@
 
 echo "== a maintenance wave over twelve hosts of the fleet"
 start_process platform "$BUILD/guavabay-standins" platform --store "127.0.0.1:$store_port" \
-    --pools conversion:8,administrative:4
+    --pools conversion:8,administrative:4 --record "$WORK/tasks"
 for _ in $(seq 1 100); do
     "$BUILD/guavabay" fleet status --operators "$operators" >"$WORK/fleet"
     [ "$(grep -o '"host":' "$WORK/fleet" | wc -l)" = 12 ] && break
@@ -50,6 +50,27 @@
 grep -q '"done":12' "$WORK/wave"
 "$BUILD/guavabay" fleet move --operators "$operators" --pool conversion --dry-run yes administrative-1
 
+echo "== twenty tasks; one is cancelled, one can never run"
+tasks="--operators $operators --pool conversion"
+request="--customer registrars --kind convert"
+# shellcheck disable=SC2086
+"$BUILD/guavabay" task submit $tasks --wait 8 $request $(seq -f 't%g' 1 20) >"$WORK/submitted"
+# shellcheck disable=SC2086
+"$BUILD/guavabay" task submit $tasks $request --memory-mb 20000 giant && exit 1
+# shellcheck disable=SC2086
+"$BUILD/guavabay" task cancel $tasks --wait 8 t20
+for _ in $(seq 1 200); do
+    # shellcheck disable=SC2086
+    "$BUILD/guavabay" task list $tasks --wait 8 >"$WORK/listed"
+    grep -q '"done":19' "$WORK/listed" && break
+    sleep 0.1
+done
+grep -o '"states":{[^}]*}' "$WORK/listed"
+grep -q '"done":19' "$WORK/listed"
+# shellcheck disable=SC2086
+"$BUILD/guavabay" task explain $tasks --wait 8 t1 t20
+! grep double "$WORK/tasks"
+
 echo "== end the contract and prove that its traffic has stopped"
 "$BUILD/guavabay" contract end --operators "$operators" --wait 8 registrars
 "$BUILD/guavabay" contract proof --operators "$operators" --wait 8 registrars
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -11,6 +11,7 @@
 #include "app/serve.h"
 #include "app/serve_settings.h"
 #include "app/status_command.h"
+#include "app/task_command.h"
 #include "app/version.h"
 
 namespace {
@@ -21,6 +22,7 @@
                               "  status     shows entry hosts and what is in force on them\n"
                               "  fleet      status, move\n"
                               "  wave       start, pause, resume, status\n"
+                              "  task       submit, cancel, list, explain\n"
                               "  replay     replays recorded traces through the decisions\n"
                               "  reference  prints all settings and errors as Markdown\n"
                               "Each command explains itself with --help.\n";
@@ -65,6 +67,9 @@
     if (command == "wave") {
         return guavabay::run_wave(rest);
     }
+    if (command == "task") {
+        return guavabay::run_task(rest);
+    }
     if (command == "replay") {
         return guavabay::run_replay(rest);
     }
--- a/src/core/error_kind.cpp
+++ b/src/core/error_kind.cpp
@@ -49,6 +49,8 @@
     {outcome_unknown, "outcome_unknown", 504, unknown, 1,
      "Whether the change took effect is not known."},
     {budget_broken, "budget_broken", 409, no, 0, "The change would break a budget."},
+    {task_impossible, "task_impossible", 422, no, 0, "The task can never run."},
+    {task_differs, "task_differs", 409, no, 0, "Another task has this name."},
 }};
 
 constexpr bool table_is_ordered()
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -41,10 +41,12 @@
     store_unavailable,
     outcome_unknown,
     budget_broken,
+    task_impossible,
+    task_differs,
 };
 
 /// Number of error kinds.
-inline constexpr std::size_t error_kind_count = 32;
+inline constexpr std::size_t error_kind_count = 34;
 
 /// What is known about whether the request ran at an endpoint.
 enum class ran_state : std::uint8_t { no, unknown, yes };
--- a/src/fleet/fleet_host.cpp
+++ b/src/fleet/fleet_host.cpp
@@ -7,6 +7,7 @@
 #include "contract/contract_parser.h"
 #include "core/json_fields.h"
 #include "core/result.h"
+#include "fleet/task_record.h"
 
 namespace guavabay {
 
@@ -85,13 +86,16 @@
     report.m_up = flag_field(*object, "up");
     report.m_empty = flag_field(*object, "empty");
     report.m_maintained = wave_number(number_field(*object, "maintained"));
+    report.m_capacity = read_resources(*object);
     return report;
 }
 
 std::string format_host_report(const host_report& report)
 {
-    return json::serialize(json::object{
-        {"up", report.m_up}, {"empty", report.m_empty}, {"maintained", report.m_maintained.get()}});
+    json::object object{
+        {"up", report.m_up}, {"empty", report.m_empty}, {"maintained", report.m_maintained.get()}};
+    write_resources(report.m_capacity, object);
+    return json::serialize(object);
 }
 
 } // namespace guavabay
--- a/src/fleet/fleet_host.h
+++ b/src/fleet/fleet_host.h
@@ -10,6 +10,7 @@
 #include "contract/contract.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "fleet/resources.h"
 
 namespace guavabay {
 
@@ -44,7 +45,8 @@
     bool m_up = false;
     bool m_empty = false; ///< No task and no request is left on it.
     wave_number m_maintained;
-    revision m_revision; ///< Of the record in the store.
+    resources m_capacity; ///< What the host offers to tasks.
+    revision m_revision;  ///< Of the record in the store.
 };
 
 /// Hosts that a pool owes, derived from the contracts that name it.
--- /dev/null
+++ b/src/fleet/resources.cpp
@@ -0,0 +1,24 @@
+#include "fleet/resources.h"
+
+namespace guavabay {
+
+resources operator+(const resources& left, const resources& right)
+{
+    return {left.m_cpu_millis + right.m_cpu_millis, left.m_memory_mb + right.m_memory_mb,
+            left.m_accelerators + right.m_accelerators};
+}
+
+resources operator-(const resources& left, const resources& right)
+{
+    return {left.m_cpu_millis - right.m_cpu_millis, left.m_memory_mb - right.m_memory_mb,
+            left.m_accelerators - right.m_accelerators};
+}
+
+bool fits(const resources& wanted, const resources& offered)
+{
+    return wanted.m_cpu_millis <= offered.m_cpu_millis &&
+           wanted.m_memory_mb <= offered.m_memory_mb &&
+           wanted.m_accelerators <= offered.m_accelerators;
+}
+
+} // namespace guavabay
--- a/src/fleet/task_accounting.cpp
+++ b/src/fleet/task_accounting.cpp
@@ -4,23 +4,6 @@
 
 namespace guavabay {
 
-namespace {
-
-/// Tasks that wait for a customer's quota get their turn again.
-void unblock(task_board& board, const customer_id& customer)
-{
-    const auto found = board.m_blocked.find(customer);
-    if (found == board.m_blocked.end()) {
-        return;
-    }
-    for (const task_id& id : found->second) {
-        enqueue(board, board.m_tasks.at(id));
-    }
-    board.m_blocked.erase(found);
-}
-
-} // namespace
-
 bool is_final(task_state state)
 {
     return state == task_state::done || state == task_state::cancelled ||
@@ -50,6 +33,18 @@
     }
 }
 
+void unblock(task_board& board, const customer_id& customer)
+{
+    const auto found = board.m_blocked.find(customer);
+    if (found == board.m_blocked.end()) {
+        return;
+    }
+    for (const task_id& id : found->second) {
+        enqueue(board, board.m_tasks.at(id));
+    }
+    board.m_blocked.erase(found);
+}
+
 void enqueue(task_board& board, const task& one)
 {
     auto& queue = one.m_urgent ? board.m_urgent[one.m_pool] : board.m_normal[one.m_pool];
@@ -82,6 +77,7 @@
     release(board, one);
     one.m_state = task_state::waiting;
     one.m_reason = std::move(reason);
+    board.m_changed.push_back(one.m_id);
     enqueue(board, one);
 }
 
@@ -90,6 +86,7 @@
     release(board, one);
     one.m_state = task_state::refused;
     one.m_reason = std::move(reason);
+    board.m_changed.push_back(one.m_id);
 }
 
 } // namespace guavabay
--- a/src/fleet/task_accounting.h
+++ b/src/fleet/task_accounting.h
@@ -21,6 +21,9 @@
 /// Puts a worker into the index by what it has free.
 void index(task_board& board, const worker_state& worker);
 
+/// Gives the tasks that wait for a customer's quota their turn again.
+void unblock(task_board& board, const customer_id& customer);
+
 /// Appends a task to the queue of its pool.
 void enqueue(task_board& board, const task& one);
 
--- a/src/fleet/task_board.cpp
+++ b/src/fleet/task_board.cpp
@@ -3,63 +3,56 @@
 #include <algorithm>
 
 #include "fleet/task_accounting.h"
+#include "fleet/task_record.h"
 
 namespace guavabay {
 
 namespace {
 
-resources quota_of(const task_grant& grant)
+/// What the workers of a pool offer.
+std::vector<resources> capacities_of(const task_board& board, const pool_id& pool)
 {
-    return {static_cast<std::int64_t>(grant.m_cpu_millis),
-            static_cast<std::int64_t>(grant.m_memory_mb),
-            static_cast<std::int64_t>(grant.m_accelerators)};
-}
-
-/// Why a task can never run; empty when it can.
-std::string impossible_because(const task_board& board, const task& one)
-{
-    const auto quota = board.m_quotas.find(one.m_customer);
-    if (quota == board.m_quotas.end() || quota->second.m_running == 0) {
-        return "the contract grants no tasks";
-    }
-    if (!fits(one.m_declared, quota_of(quota->second))) {
-        return "it needs more than the whole quota of the contract";
-    }
-    bool pool_exists = false;
-    resources largest;
+    std::vector<resources> capacities;
     for (const auto& [id, worker] : board.m_workers) {
-        if (worker.m_pool != one.m_pool) {
-            continue;
+        if (worker.m_pool == pool) {
+            capacities.push_back(worker.m_capacity);
         }
-        pool_exists = true;
-        if (fits(one.m_declared, worker.m_capacity)) {
-            return {};
-        }
-        largest.m_cpu_millis = std::max(largest.m_cpu_millis, worker.m_capacity.m_cpu_millis);
-        largest.m_memory_mb = std::max(largest.m_memory_mb, worker.m_capacity.m_memory_mb);
-        largest.m_accelerators = std::max(largest.m_accelerators, worker.m_capacity.m_accelerators);
-    }
-    if (!pool_exists) {
-        return "pool " + one.m_pool.str() + " has no workers";
     }
-    if (one.m_declared.m_accelerators > largest.m_accelerators) {
+    return capacities;
+}
+
+/// The constraint that no worker meets, given the largest amount of each resource.
+std::string missing_resource(const resources& wanted, const resources& largest)
+{
+    if (wanted.m_accelerators > largest.m_accelerators) {
         return "no worker of the pool has that many accelerators";
     }
-    if (one.m_declared.m_memory_mb > largest.m_memory_mb) {
+    if (wanted.m_memory_mb > largest.m_memory_mb) {
         return "no worker of the pool has that much memory";
     }
-    if (one.m_declared.m_cpu_millis > largest.m_cpu_millis) {
+    if (wanted.m_cpu_millis > largest.m_cpu_millis) {
         return "no worker of the pool has that many cores";
     }
     return "no single worker of the pool has all of it";
 }
 
+/// The part of a customer's quota that this board may use now.
+quota_use usable_quota(const task_board& board, const customer_id& customer)
+{
+    if (!board.m_shares_quotas) {
+        const auto quota = board.m_quotas.find(customer);
+        return quota == board.m_quotas.end() ? quota_use{} : quota_of(quota->second);
+    }
+    const auto lent = board.m_lent.find(customer);
+    return lent == board.m_lent.end() ? quota_use{} : lent->second;
+}
+
 bool within_quota(const task_board& board, const task& one, const resources& reserved)
 {
-    const task_grant& quota = board.m_quotas.at(one.m_customer);
+    const quota_use quota = usable_quota(board, one.m_customer);
     const auto found = board.m_uses.find(one.m_customer);
     const quota_use use = found == board.m_uses.end() ? quota_use{} : found->second;
-    return use.m_running < quota.m_running && fits(use.m_reserved + reserved, quota_of(quota));
+    return use.m_running < quota.m_running && fits(use.m_reserved + reserved, quota.m_reserved);
 }
 
 /// The worker with the fewest free cores that still takes the task.
@@ -93,7 +86,9 @@
     one.m_worker = worker.m_id;
     one.m_reserved = reserved;
     one.m_started = now;
+    one.m_throttled = false;
     ++one.m_attempt;
+    board.m_changed.push_back(one.m_id);
     orders.push_back({task_order::verb::start, one.m_id, worker.m_id, one.m_attempt});
 }
 
@@ -136,6 +131,7 @@
         for (std::size_t i = 0; i < used; ++i) {
             victims[i]->m_state = task_state::checkpointing;
             victims[i]->m_reason = "makes room for urgent task " + urgent.m_id.str();
+            board.m_changed.push_back(victims[i]->m_id);
             orders.push_back(
                 {task_order::verb::checkpoint, victims[i]->m_id, id, victims[i]->m_attempt});
         }
@@ -155,10 +151,11 @@
     while (!queue.empty()) {
         const task_id id = queue.front();
         queue.pop_front();
-        task& one = board.m_tasks.at(id);
-        if (one.m_state != task_state::waiting) {
+        const auto found = board.m_tasks.find(id);
+        if (found == board.m_tasks.end() || found->second.m_state != task_state::waiting) {
             continue;
         }
+        task& one = found->second;
         const resources reserved =
             board.m_usage.reserve_for(one.m_customer, one.m_kind, one.m_declared);
         if (!within_quota(board, one, reserved)) {
@@ -186,6 +183,38 @@
 
 } // namespace
 
+quota_use quota_of(const task_grant& grant)
+{
+    return {grant.m_running,
+            {static_cast<std::int64_t>(grant.m_cpu_millis),
+             static_cast<std::int64_t>(grant.m_memory_mb),
+             static_cast<std::int64_t>(grant.m_accelerators)}};
+}
+
+std::string impossible_because(const task& one, const task_grant& grant,
+                               const std::vector<resources>& capacities)
+{
+    if (grant.m_running == 0) {
+        return "the contract grants no tasks";
+    }
+    if (!fits(one.m_declared, quota_of(grant).m_reserved)) {
+        return "it needs more than the whole quota of the contract";
+    }
+    if (capacities.empty()) {
+        return "pool " + one.m_pool.str() + " has no workers";
+    }
+    resources largest;
+    for (const resources& capacity : capacities) {
+        if (fits(one.m_declared, capacity)) {
+            return {};
+        }
+        largest.m_cpu_millis = std::max(largest.m_cpu_millis, capacity.m_cpu_millis);
+        largest.m_memory_mb = std::max(largest.m_memory_mb, capacity.m_memory_mb);
+        largest.m_accelerators = std::max(largest.m_accelerators, capacity.m_accelerators);
+    }
+    return missing_resource(one.m_declared, largest);
+}
+
 void put_worker(task_board& board, const worker_id& id, const pool_id& pool,
                 const resources& capacity, bool accepting)
 {
@@ -210,7 +239,9 @@
     }
     wanted.m_submitted = now;
     task& one = board.m_tasks.emplace(id, std::move(wanted)).first->second;
-    std::string reason = impossible_because(board, one);
+    const auto quota = board.m_quotas.find(one.m_customer);
+    const task_grant grant = quota == board.m_quotas.end() ? task_grant{} : quota->second;
+    std::string reason = impossible_because(one, grant, capacities_of(board, one.m_pool));
     if (!reason.empty()) {
         refuse(board, one, std::move(reason));
         return;
@@ -227,6 +258,7 @@
     task& one = found->second;
     if (holds_worker(one.m_state)) {
         orders.push_back({task_order::verb::stop, id, one.m_worker, one.m_attempt});
+        one.m_stopping_on = one.m_worker;
     }
     release(board, one);
     const auto blocked = board.m_blocked.find(one.m_customer);
@@ -235,6 +267,7 @@
     }
     one.m_state = task_state::cancelled;
     one.m_reason = "cancelled";
+    board.m_changed.push_back(id);
 }
 
 void place_tasks(task_board& board, time_point now, std::vector<task_order>& orders)
@@ -249,6 +282,12 @@
     }
 }
 
+void lend_quota(task_board& board, const customer_id& customer, const quota_use& lent)
+{
+    board.m_lent[customer] = lent;
+    unblock(board, customer);
+}
+
 std::string explain_task(const task_board& board, const task_id& id)
 {
     const auto found = board.m_tasks.find(id);
@@ -256,9 +295,7 @@
         return "there is no task " + id.str();
     }
     const task& one = found->second;
-    constexpr std::array<const char*, 7> words{"waiting", "starting",  "running", "checkpointing",
-                                               "done",    "cancelled", "refused"};
-    std::string text = words.at(static_cast<std::size_t>(one.m_state));
+    std::string text = to_string(one.m_state);
     if (!one.m_worker.empty()) {
         text += " on " + one.m_worker.str();
     }
--- a/src/fleet/task_board.h
+++ b/src/fleet/task_board.h
@@ -12,6 +12,7 @@
 #include "contract/contract.h"
 #include "core/time.h"
 #include "fleet/fleet_host.h"
+#include "fleet/resources.h"
 #include "fleet/usage_model.h"
 
 namespace guavabay {
@@ -35,6 +36,8 @@
     pool_id m_pool;
     resources m_declared;
     bool m_urgent = false;
+    bool m_cancel_wanted = false; ///< An operator has ended the task; it is never started again.
+    bool m_throttled = false;     ///< May use no more than what is reserved for it.
     time_point m_submitted{};
     task_state m_state = task_state::waiting;
     std::string m_reason; ///< Why it waits or was refused.
@@ -44,6 +47,9 @@
     time_point m_started{};
     std::set<worker_id> m_failed_on;
     std::uint32_t m_lapses = 0;
+    resources m_used;        ///< As last reported; lags.
+    worker_id m_stopping_on; ///< Where a cancelled run has not been reported as ended.
+    revision m_revision;     ///< Of the record in the store.
 };
 
 /// A worker as the placement sees it.
@@ -82,13 +88,23 @@
     std::map<worker_id, worker_state> m_workers;
     std::map<customer_id, task_grant> m_quotas;
     std::map<customer_id, quota_use> m_uses;
+    bool m_shares_quotas = false;            ///< Other boards start work under the same quotas.
+    std::map<customer_id, quota_use> m_lent; ///< Part of each quota that this board may use.
     usage_model m_usage;
     std::map<pool_id, std::set<std::pair<std::int64_t, worker_id>>> m_by_free; ///< By free cores.
     std::map<pool_id, std::deque<task_id>> m_urgent;
     std::map<pool_id, std::deque<task_id>> m_normal;
     std::map<customer_id, std::set<task_id>> m_blocked; ///< Waiting for the customer's quota.
+    std::vector<task_id> m_changed; ///< Tasks whose record is out of date; the user empties it.
 };
 
+/// The whole quota of a contract.
+quota_use quota_of(const task_grant& grant);
+
+/// Why a task can never run on any of the given capacities under a grant; empty when it can.
+std::string impossible_because(const task& one, const task_grant& grant,
+                               const std::vector<resources>& capacities);
+
 /// Adds a worker, or changes what it offers.
 void put_worker(task_board& board, const worker_id& id, const pool_id& pool,
                 const resources& capacity, bool accepting);
@@ -119,6 +135,15 @@
 /// Notes that a worker is gone: its tasks wait again under a new attempt.
 void on_worker_lost(task_board& board, const worker_id& id);
 
+/// Changes the part of a customer's quota that this board may use.
+void lend_quota(task_board& board, const customer_id& customer, const quota_use& lent);
+
+/// Notes that the run of a cancelled task has ended.
+void on_task_stopped(task_board& board, const task_id& id);
+
+/// Tasks of a customer that may still run or start.
+std::size_t count_open_tasks(const task_board& board, const customer_id& customer);
+
 /// Why a task is where it is, for operators.
 std::string explain_task(const task_board& board, const task_id& id);
 
--- a/src/fleet/task_outcomes.cpp
+++ b/src/fleet/task_outcomes.cpp
@@ -99,6 +99,7 @@
     release(board, *one);
     one->m_state = task_state::done;
     one->m_reason = "done";
+    board.m_changed.push_back(id);
 }
 
 void on_task_failed(task_board& board, const task_id& id, std::uint64_t attempt, time_point now)
@@ -128,6 +129,25 @@
     refuse(board, *one, "it failed on " + std::to_string(one->m_failed_on.size()) + " workers");
 }
 
+void on_task_stopped(task_board& board, const task_id& id)
+{
+    const auto found = board.m_tasks.find(id);
+    if (found != board.m_tasks.end() && !found->second.m_stopping_on.empty()) {
+        found->second.m_stopping_on = {};
+        board.m_changed.push_back(id);
+    }
+}
+
+std::size_t count_open_tasks(const task_board& board, const customer_id& customer)
+{
+    return static_cast<std::size_t>(
+        std::count_if(board.m_tasks.begin(), board.m_tasks.end(), [&customer](const auto& entry) {
+            const task& one = entry.second;
+            const bool open = !is_final(one.m_state) || !one.m_stopping_on.empty();
+            return open && one.m_customer == customer;
+        }));
+}
+
 void on_worker_lost(task_board& board, const worker_id& id)
 {
     const auto found = board.m_workers.find(id);
@@ -135,11 +155,20 @@
         return;
     }
     const std::set<task_id> lost = found->second.m_tasks;
+    std::vector<task_id> stopped;
     for (const task_id& one : lost) {
         task& entry = board.m_tasks.at(one);
         ++entry.m_lapses;
         wait_again(board, entry, "its worker was lost");
     }
+    for (const auto& [task, entry] : board.m_tasks) {
+        if (entry.m_stopping_on == id) {
+            stopped.push_back(task);
+        }
+    }
+    for (const task_id& one : stopped) {
+        on_task_stopped(board, one);
+    }
     unindex(board, found->second);
     board.m_workers.erase(found);
 }
--- /dev/null
+++ b/src/fleet/task_record.cpp
@@ -0,0 +1,228 @@
+#include "fleet/task_record.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+
+#include "core/json_fields.h"
+#include "core/result.h"
+
+namespace guavabay {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::string_view, 7> state_words{
+    "waiting", "starting", "running", "checkpointing", "done", "cancelled", "refused"};
+constexpr std::array<std::string_view, 5> run_words{"running", "saved", "done", "failed",
+                                                    "stopped"};
+constexpr std::array<std::string_view, 6> submission_fields{
+    "customer", "kind", "cpu_millis", "memory_mb", "accelerators", "urgent"};
+constexpr std::int64_t most_of_a_resource = 1'000'000'000;
+
+/// The place of a word in a list; empty with a reason when it is not listed.
+template <std::size_t Size>
+std::optional<std::size_t> find_word(const std::array<std::string_view, Size>& words,
+                                     const std::string& word)
+{
+    const auto found = std::find(words.begin(), words.end(), word);
+    if (found == words.end()) {
+        return fail("the state '" + word + "' is not known");
+    }
+    return static_cast<std::size_t>(found - words.begin());
+}
+
+void read_request(const json::object& object, task& one)
+{
+    one.m_customer = customer_id(text_field(object, "customer"));
+    one.m_kind = text_field(object, "kind");
+    one.m_urgent = flag_field(object, "urgent");
+    one.m_declared = read_resources(object);
+}
+
+json::object write_request(const task& one)
+{
+    json::object object{{"customer", one.m_customer.str()}, {"kind", one.m_kind}};
+    write_resources(one.m_declared, object);
+    if (one.m_urgent) {
+        object["urgent"] = true;
+    }
+    return object;
+}
+
+bool in_range(std::int64_t amount)
+{
+    return amount >= 0 && amount <= most_of_a_resource;
+}
+
+/// Says what is wrong with the members of a submission; empty when nothing is.
+std::string fault_of(const json::object& object)
+{
+    for (const auto& member : object) {
+        const std::string_view name(member.key().data(), member.key().size());
+        if (std::find(submission_fields.begin(), submission_fields.end(), name) ==
+            submission_fields.end()) {
+            return "/" + std::string(name) + ": unknown field";
+        }
+    }
+    for (const char* name : {"cpu_millis", "memory_mb", "accelerators"}) {
+        const json::value* value = object.if_contains(name);
+        if (value != nullptr && (!value->is_int64() || !in_range(value->get_int64()))) {
+            return std::string("/") + name + ": must be a whole number from 0 to 1000000000";
+        }
+    }
+    for (const char* name : {"customer", "kind"}) {
+        if (text_field(object, name).empty()) {
+            return std::string("/") + name + ": missing";
+        }
+    }
+    const json::value* urgent = object.if_contains("urgent");
+    if (urgent != nullptr && !urgent->is_bool()) {
+        return "/urgent: must be true or false";
+    }
+    return {};
+}
+
+} // namespace
+
+std::optional<task> parse_task(const pool_id& pool, const task_id& id, const std::string& value)
+{
+    const std::optional<json::object> object = parse_json_object(value);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto state = find_word(state_words, text_field(*object, "state"));
+    if (!state) {
+        return std::nullopt;
+    }
+    task one;
+    one.m_id = id;
+    one.m_pool = pool;
+    read_request(*object, one);
+    one.m_state = static_cast<task_state>(*state);
+    one.m_reason = text_field(*object, "reason");
+    one.m_worker = worker_id(text_field(*object, "worker"));
+    one.m_attempt = static_cast<std::uint64_t>(number_field(*object, "attempt"));
+    one.m_cancel_wanted = flag_field(*object, "cancel");
+    one.m_throttled = flag_field(*object, "throttled");
+    one.m_stopping_on = worker_id(text_field(*object, "stopping_on"));
+    const json::value* reserved = object->if_contains("reserved");
+    one.m_reserved = reserved != nullptr && reserved->is_object()
+                         ? read_resources(reserved->get_object())
+                         : one.m_declared;
+    const json::value* failed = object->if_contains("failed_on");
+    if (failed != nullptr && failed->is_array()) {
+        for (const json::value& worker : failed->get_array()) {
+            if (worker.is_string()) {
+                one.m_failed_on.insert(worker_id(worker.get_string().c_str()));
+            }
+        }
+    }
+    return one;
+}
+
+std::string format_task(const task& one)
+{
+    json::object object = write_request(one);
+    const bool running = one.m_state == task_state::running;
+    object["state"] = to_string(running ? task_state::starting : one.m_state);
+    object["attempt"] = static_cast<std::int64_t>(one.m_attempt);
+    if (!one.m_reason.empty()) {
+        object["reason"] = one.m_reason;
+    }
+    if (!one.m_worker.empty()) {
+        object["worker"] = one.m_worker.str();
+        json::object reserved;
+        write_resources(one.m_reserved, reserved);
+        object["reserved"] = std::move(reserved);
+    }
+    if (!one.m_stopping_on.empty()) {
+        object["stopping_on"] = one.m_stopping_on.str();
+    }
+    if (one.m_cancel_wanted) {
+        object["cancel"] = true;
+    }
+    if (one.m_throttled) {
+        object["throttled"] = true;
+    }
+    if (!one.m_failed_on.empty()) {
+        json::array failed;
+        for (const worker_id& worker : one.m_failed_on) {
+            failed.emplace_back(worker.str());
+        }
+        object["failed_on"] = std::move(failed);
+    }
+    return json::serialize(object);
+}
+
+std::optional<task> parse_submission(const pool_id& pool, const task_id& id,
+                                     const std::string& body)
+{
+    const std::optional<json::object> object = parse_json_object(body);
+    if (!object) {
+        return std::nullopt;
+    }
+    std::string fault = fault_of(*object);
+    if (!fault.empty()) {
+        return fail(std::move(fault));
+    }
+    task one;
+    one.m_id = id;
+    one.m_pool = pool;
+    read_request(*object, one);
+    return one;
+}
+
+bool asks_the_same(const task& left, const task& right)
+{
+    return left.m_customer == right.m_customer && left.m_kind == right.m_kind &&
+           left.m_urgent == right.m_urgent && left.m_declared == right.m_declared;
+}
+
+std::optional<run_report> parse_run_report(const std::string& value)
+{
+    const std::optional<json::object> object = parse_json_object(value);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto state = find_word(run_words, text_field(*object, "state"));
+    if (!state) {
+        return std::nullopt;
+    }
+    run_report report;
+    report.m_attempt = static_cast<std::uint64_t>(number_field(*object, "attempt"));
+    report.m_state = static_cast<run_state>(*state);
+    report.m_used = read_resources(*object);
+    return report;
+}
+
+std::string format_run_report(const run_report& report)
+{
+    json::object object{{"attempt", static_cast<std::int64_t>(report.m_attempt)},
+                        {"state", run_words.at(static_cast<std::size_t>(report.m_state))}};
+    write_resources(report.m_used, object);
+    return json::serialize(object);
+}
+
+std::string to_string(task_state state)
+{
+    return std::string(state_words.at(static_cast<std::size_t>(state)));
+}
+
+resources read_resources(const json::object& object)
+{
+    return {number_field(object, "cpu_millis"), number_field(object, "memory_mb"),
+            number_field(object, "accelerators")};
+}
+
+void write_resources(const resources& amounts, json::object& object)
+{
+    object["cpu_millis"] = amounts.m_cpu_millis;
+    object["memory_mb"] = amounts.m_memory_mb;
+    if (amounts.m_accelerators != 0) {
+        object["accelerators"] = amounts.m_accelerators;
+    }
+}
+
+} // namespace guavabay
--- a/src/fleet/usage_model.h
+++ b/src/fleet/usage_model.h
@@ -7,25 +7,10 @@
 #include <utility>
 
 #include "core/ids.h"
+#include "fleet/resources.h"
 
 namespace guavabay {
 
-/// Work that a task needs or a worker offers.
-struct resources {
-    std::int64_t m_cpu_millis = 0; ///< Thousandths of a core.
-    std::int64_t m_memory_mb = 0;
-    std::int64_t m_accelerators = 0;
-
-    auto operator<=>(const resources&) const = default;
-};
-
-/// Adds two amounts.
-resources operator+(const resources& left, const resources& right);
-/// Subtracts an amount.
-resources operator-(const resources& left, const resources& right);
-/// True when every part of the first fits into the second.
-bool fits(const resources& wanted, const resources& offered);
-
 /// What tasks of one customer and kind really use, relative to what they declare.
 class usage_model {
 public:
--- a/src/node/departure_proof.cpp
+++ b/src/node/departure_proof.cpp
@@ -68,6 +68,28 @@
     return {};
 }
 
+/// Names each pool in which the customer still has tasks, or whose tasks nobody has counted.
+void append_missing_pools(const node_state& node, const pending_status& status,
+                          json::array& missing)
+{
+    std::map<pool_id, std::uint32_t> open;
+    for (const auto& [host, tell] : status.m_answers) {
+        for (const pool_trace& trace : tell.m_pools) {
+            open[trace.m_pool] += trace.m_open_tasks;
+        }
+    }
+    for (const pool_id& pool : node.m_pools) {
+        const auto counted = open.find(pool);
+        if (counted == open.end()) {
+            missing.emplace_back("pool " + pool.str() + ": nobody has counted its tasks");
+        }
+        else if (counted->second > 0) {
+            missing.emplace_back("pool " + pool.str() + ": " + std::to_string(counted->second) +
+                                 " tasks");
+        }
+    }
+}
+
 } // namespace
 
 bool finish_status(node_state& node, pending_status& status, time_point now, node_output& out)
@@ -99,6 +121,9 @@
                                  std::to_string(static_cast<std::int64_t>(silent)) + " ms");
         }
     }
+    if (departure) {
+        append_missing_pools(node, status, missing);
+    }
     if (departure && !terms->m_record.m_ended) {
         missing.emplace_back("the contract has not been ended");
     }
--- a/src/node/fleet_records.cpp
+++ b/src/node/fleet_records.cpp
@@ -15,6 +15,12 @@
                                                " reason=" + last_reason()});
 }
 
+void note_fleet_change(node_state& node)
+{
+    node.m_fleet_duty.m_changed = true;
+    ++node.m_fleet_version;
+}
+
 void take_host_record(node_state& node, const config_record& record, node_output& out)
 {
     const worker_id id(record.m_key.substr(host_prefix.size()));
@@ -24,7 +30,7 @@
     if (older) {
         return;
     }
-    node.m_fleet_duty.m_changed = true;
+    note_fleet_change(node);
     if (record.m_value.empty()) {
         node.m_fleet.m_hosts.erase(id);
         return;
@@ -47,7 +53,7 @@
     if (older) {
         return;
     }
-    node.m_fleet_duty.m_changed = true;
+    note_fleet_change(node);
     if (record.m_value.empty()) {
         node.m_fleet.m_reports.erase(id);
         return;
@@ -86,7 +92,9 @@
     }
     const std::size_t erased = std::erase_if(
         node.m_fleet.m_hosts, [&shown](const auto& entry) { return !shown.contains(entry.first); });
-    node.m_fleet_duty.m_changed = node.m_fleet_duty.m_changed || erased > 0;
+    if (erased > 0) {
+        note_fleet_change(node);
+    }
 }
 
 void follow_wave_record(node_state& node, const config_record& record)
--- a/src/node/membership_duties.cpp
+++ b/src/node/membership_duties.cpp
@@ -51,9 +51,8 @@
         addresses.insert(fields ? text_field(*fields, "peer_address") : std::string());
     });
     addresses.erase("");
-    std::erase_if(addresses, [&node](const std::string& address) {
-        return is_known_address(node, address);
-    });
+    std::erase_if(addresses,
+                  [&node](const std::string& address) { return is_known_address(node, address); });
     return addresses;
 }
 
--- a/src/node/message_handler.cpp
+++ b/src/node/message_handler.cpp
@@ -7,6 +7,7 @@
 #include "node/operator_work.h"
 #include "node/service_queues.h"
 #include "node/slot_client.h"
+#include "node/task_duties.h"
 
 namespace guavabay {
 
@@ -154,6 +155,10 @@
     {
         on_key_transfer(ledger(), m_from, message, make_ledger_context(m_context));
     }
+    void operator()(const task_hint_message& message) const
+    {
+        on_task_hint(node(), message.m_pool);
+    }
 
 private:
     [[nodiscard]] node_state& node() const { return m_context.m_node; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node/service_queues.h"
 #include "node/slot_client.h"
 #include "node/store_duties.h"
+#include "node/task_duties.h"
 
 namespace guavabay {
 
@@ -62,7 +63,8 @@
             node.m_last_outside_contact = context.m_now;
         }
         const bool taken = on_lease_result(node, *result, context.m_now, context.m_out) ||
-                           on_fleet_result(node, *result, context.m_now, context.m_out);
+                           on_fleet_result(node, *result, context.m_now, context.m_out) ||
+                           on_task_result(node, *result, context.m_now, context.m_out);
         if (!taken) {
             on_operator_store_result(node, *result, context.m_now, context.m_wall, context.m_out);
         }
@@ -175,6 +177,7 @@
     on_lease_tick(node, now, out);
     on_epoch_tick(node, now, out);
     on_fleet_tick(node, now, wall, out);
+    on_task_tick(node, now, wall, out);
     follow_epoch_record(context);
     deny_ended_customers(node, wall, out);
     on_slot_client_tick(node, now, out);
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -83,6 +83,10 @@
     wave_pause,
     wave_resume,
     wave_status,
+    task_submit,
+    task_cancel,
+    task_list,
+    task_explain,
 };
 
 /// A call of an operator.
@@ -95,6 +99,8 @@
     std::string m_operator;
     std::optional<revision> m_expected; ///< The version that the operator read before.
     std::string m_host;                 ///< Host of the fleet that a move is about.
+    pool_id m_pool;                     ///< Pool of the task that a call is about.
+    task_id m_task;
     bool m_dry_run = false;
     std::vector<host_id> m_assumed_gone; ///< Hosts that the operator knows to be gone.
 };
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -15,6 +15,7 @@
 #include "ledger/key_ledger.h"
 #include "membership/member_table.h"
 #include "node/node_events.h"
+#include "node/task_duty.h"
 
 namespace guavabay {
 
@@ -49,7 +50,7 @@
     enum class stage : std::uint8_t { writing, settling, spreading };
 
     operator_request m_request;
-    std::string m_summary; ///< What the operator is told of a wave's change; empty for a contract.
+    std::string m_summary;  ///< What the operator is told of a wave's change; empty for a contract.
     config_record m_record; ///< The value to write; its revision is set once it is accepted.
     revision m_base;
     stage m_stage = stage::writing;
@@ -106,6 +107,16 @@
     bool m_changed = true; ///< The fleet changed since the last plan.
 };
 
+/// An operator's call about a task that waits for the store.
+struct task_call {
+    operator_request m_request;
+    task m_wanted;            ///< The task as it is to be written.
+    std::uint64_t m_call = 0; ///< Store call under way; zero when none is.
+    bool m_reading = false;   ///< The store call under way reads the record.
+    time_point m_next_try{};
+    time_point m_deadline{};
+};
+
 /// Requests and ends of a customer at this process, for the proof of departure.
 struct customer_trace {
     std::uint32_t m_waiting = 0;
@@ -132,7 +143,12 @@
     key_ledger m_ledger;
     fleet_view m_fleet;
     std::optional<wave_record> m_wave;
+    std::uint64_t m_fleet_version = 1; ///< Counts changes of hosts and reports.
+    std::set<pool_id> m_pools;         ///< Pools that have hosts.
+    std::uint64_t m_pools_version = 0; ///< Version of the fleet that the pools were read from.
     fleet_duty m_fleet_duty;
+    std::map<pool_id, task_duty> m_task_duties;
+    std::vector<task_call> m_task_calls;
     revision m_full_reading; ///< Position of the history that the last full reading showed.
     sync_state m_sync;
     store_lease m_lease;
--- a/src/node/operator_work.cpp
+++ b/src/node/operator_work.cpp
@@ -10,6 +10,8 @@
 #include "node/fleet_duties.h"
 #include "node/node.h"
 #include "node/operator_answers.h"
+#include "node/task_calls.h"
+#include "node/task_duties.h"
 
 namespace guavabay {
 
@@ -150,6 +152,12 @@
     case operator_verb::wave_status:
         on_fleet_request(node, request, wall, out);
         break;
+    case operator_verb::task_submit:
+    case operator_verb::task_cancel:
+    case operator_verb::task_list:
+    case operator_verb::task_explain:
+        on_task_request(node, request, now, wall, out);
+        break;
     case operator_verb::status:
     case operator_verb::proof:
         if (find_contract(*node.m_view, request.m_customer) == nullptr) {
@@ -165,7 +173,8 @@
 bool on_operator_store_result(node_state& node, const store_result& result, time_point now,
                               wall_time wall, node_output& out)
 {
-    if (on_change_result(node, result, now, wall, out)) {
+    if (on_change_result(node, result, now, wall, out) ||
+        on_task_call_result(node, result, now, out)) {
         return true;
     }
     for (auto it = node.m_statuses.begin(); it != node.m_statuses.end(); ++it) {
@@ -197,6 +206,7 @@
             tell.m_endpoints.push_back({endpoint, end});
         }
     }
+    tell.m_pools = list_open_tasks(node, customer, tell.m_in_force);
     return tell;
 }
 
@@ -213,6 +223,7 @@
 {
     (void)wall;
     on_change_tick(node, now, out);
+    on_task_call_tick(node, now, out);
     std::erase_if(node.m_statuses,
                   [&](pending_status& status) { return advance_status(node, status, now, out); });
 }
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -106,6 +106,49 @@
     return call;
 }
 
+/// The call about a pool's tasks that a request makes, under paths such as
+/// /v1/pools/POOL/tasks/TASK; empty when it makes none.
+std::optional<operator_request> task_call_of(const http::request<http::string_body>& request)
+{
+    constexpr std::string_view pools_path = "/v1/pools/";
+    constexpr std::string_view tasks_path = "/tasks";
+    const std::string_view target = to_view(request.target());
+    if (!target.starts_with(pools_path)) {
+        return std::nullopt;
+    }
+    const std::string_view rest = target.substr(pools_path.size());
+    const std::size_t end = rest.find('/');
+    if (end == std::string_view::npos || !rest.substr(end).starts_with(tasks_path)) {
+        return std::nullopt;
+    }
+    operator_request call;
+    call.m_pool = pool_id(std::string(rest.substr(0, end)));
+    call.m_body = request.body();
+    const std::string_view name = rest.substr(end + tasks_path.size());
+    const http::verb method = request.method();
+    if (name.empty() && method == http::verb::get) {
+        call.m_verb = operator_verb::task_list;
+        return call;
+    }
+    if (!name.starts_with('/')) {
+        return std::nullopt;
+    }
+    call.m_task = task_id(std::string(name.substr(1)));
+    switch (method) {
+    case http::verb::get:
+        call.m_verb = operator_verb::task_explain;
+        return call;
+    case http::verb::put:
+        call.m_verb = operator_verb::task_submit;
+        return call;
+    case http::verb::delete_:
+        call.m_verb = operator_verb::task_cancel;
+        return call;
+    default:
+        return std::nullopt;
+    }
+}
+
 /// The counts of the inner protocol in the Prometheus text format.
 std::string describe_link(const shared_state& shared)
 {
@@ -246,6 +289,10 @@
     if (about_fleet) {
         co_return co_await call_control(*about_fleet);
     }
+    const std::optional<operator_request> about_task = task_call_of(request);
+    if (about_task) {
+        co_return co_await call_control(*about_task);
+    }
     if (target == "/v1/members" && request.method() == http::verb::get) {
         call.m_verb = operator_verb::members;
         co_return co_await call_control(std::move(call));
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr std::string_view magic = "GB";
-constexpr char protocol_version = 1;
+constexpr char protocol_version = 2;
 constexpr std::size_t tag_bytes = 16;
 constexpr std::size_t header_bytes = magic.size() + 2 + tag_bytes;
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -276,6 +276,18 @@
     }
 };
 
+/// Tasks of a customer in one pool that may still run or start.
+struct pool_trace {
+    pool_id m_pool;
+    std::uint32_t m_open_tasks = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_pool, m_open_tasks);
+    }
+};
+
 /// What one process has in force for a customer and what it still runs.
 struct status_tell_message {
     std::uint64_t m_ask = 0;
@@ -285,12 +297,13 @@
     std::uint32_t m_running = 0;
     std::int64_t m_confirmed_at_ms = 0; ///< Calendar time, milliseconds since 1970.
     std::vector<endpoint_trace> m_endpoints;
+    std::vector<pool_trace> m_pools; ///< Pools whose tasks the sender places.
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
         archive(m_ask, m_in_force, m_access_open, m_waiting, m_running, m_confirmed_at_ms,
-                m_endpoints);
+                m_endpoints, m_pools);
     }
 };
 
@@ -403,6 +416,17 @@
     }
 };
 
+/// Tells the holder of a pool's duty that the pool's records have changed.
+struct task_hint_message {
+    pool_id m_pool;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_pool);
+    }
+};
+
 /// Every message of the inner protocol.
 using peer_message =
     std::variant<heartbeat_message, member_ask_message, member_tell_message, record_message,
@@ -411,7 +435,8 @@
                  slot_grant_message, slot_refusal_message, slot_not_owner_message,
                  slot_release_message, holdings_ask_message, holdings_message, status_ask_message,
                  status_tell_message, key_claim_message, key_copy_message, key_copied_message,
-                 key_verdict_message, key_transfer_ask_message, key_transfer_message>;
+                 key_verdict_message, key_transfer_ask_message, key_transfer_message,
+                 task_hint_message>;
 
 /// The messages that one process sends to another in one datagram.
 struct peer_packet {
--- a/src/platform/etcd_codec.cpp
+++ b/src/platform/etcd_codec.cpp
@@ -19,6 +19,12 @@
     return prefix;
 }
 
+/// The first key after all keys that the watch shows.
+std::string end_of_watched(const std::string& prefix)
+{
+    return prefix + unwatched_mark;
+}
+
 const json::object* object_at(const json::object& object, std::string_view name)
 {
     const json::value* value = object.if_contains({name.data(), name.size()});
@@ -63,9 +69,16 @@
 std::string encode_swap(const store_swap& swap, const std::string& prefix)
 {
     const std::string key = to_base64(prefix + swap.m_key);
-    json::object put{{"key", key}, {"value", to_base64(swap.m_value)}};
-    if (swap.m_lease != lease_id{}) {
-        put["lease"] = std::to_string(swap.m_lease.get());
+    json::object change;
+    if (swap.m_value.empty()) {
+        change["request_delete_range"] = json::object{{"key", key}};
+    }
+    else {
+        json::object put{{"key", key}, {"value", to_base64(swap.m_value)}};
+        if (swap.m_lease != lease_id{}) {
+            put["lease"] = std::to_string(swap.m_lease.get());
+        }
+        change["request_put"] = std::move(put);
     }
     json::array compares;
     compares.emplace_back(encode_comparison(key, swap.m_expected));
@@ -75,7 +88,7 @@
     }
     const json::object body{
         {"compare", std::move(compares)},
-        {"success", json::array{json::object{{"request_put", put}}}},
+        {"success", json::array{std::move(change)}},
         {"failure", json::array{json::object{{"request_range", json::object{{"key", key}}}}}}};
     return json::serialize(body);
 }
@@ -115,6 +128,32 @@
     result.m_record.m_key = swap.m_key;
 }
 
+etcd_request encode_read_changes(const store_read_changes& wanted, const std::string& prefix)
+{
+    const std::string first = prefix + wanted.m_prefix;
+    return {"/v3/kv/range", json::serialize(json::object{
+                                {"key", to_base64(first)},
+                                {"range_end", to_base64(end_of_prefix(first))},
+                                {"limit", std::to_string(page_records)},
+                                {"sort_order", "ASCEND"},
+                                {"sort_target", "MOD"},
+                                {"min_mod_revision", std::to_string(wanted.m_since.get() + 1)}})};
+}
+
+/// A full page shows changes up to its last record, any other up to the store's position.
+void decode_changes(std::string_view body, const std::string& prefix, store_result& result)
+{
+    std::optional<store_update> update = decode_range(body, prefix);
+    if (!update) {
+        return;
+    }
+    result.m_outcome = store_outcome::done;
+    const bool full = update->m_records.size() == page_records;
+    result.m_more = full;
+    result.m_position = full ? update->m_records.back().m_revision : update->m_revision;
+    result.m_records = std::move(update->m_records);
+}
+
 void decode_lease(const json::object& answer, const char* name, store_result& result)
 {
     const std::int64_t lifetime = number_field(answer, "TTL");
@@ -130,6 +169,9 @@
         return {"/v3/kv/range",
                 json::serialize(json::object{{"key", to_base64(prefix + read->m_key)}})};
     }
+    if (const auto* changes = std::get_if<store_read_changes>(&call.m_operation)) {
+        return encode_read_changes(*changes, prefix);
+    }
     if (const auto* swap = std::get_if<store_swap>(&call.m_operation)) {
         return {"/v3/kv/txn", encode_swap(*swap, prefix)};
     }
@@ -163,6 +205,9 @@
             result.m_record.m_key = read->m_key;
         }
     }
+    else if (std::holds_alternative<store_read_changes>(call.m_operation)) {
+        decode_changes(body, prefix, result);
+    }
     else if (const auto* swap = std::get_if<store_swap>(&call.m_operation)) {
         decode_swap(*answer, *swap, prefix, result);
     }
@@ -186,7 +231,7 @@
 {
     const std::string first = after.empty() ? prefix : prefix + after + '\0';
     json::object body{{"key", to_base64(first)},
-                      {"range_end", to_base64(end_of_prefix(prefix))},
+                      {"range_end", to_base64(end_of_watched(prefix))},
                       {"limit", std::to_string(page_records)}};
     if (position != revision{}) {
         body["revision"] = std::to_string(position.get());
@@ -198,7 +243,7 @@
 {
     return {"/v3/kv/range",
             json::serialize(json::object{{"key", to_base64(prefix)},
-                                         {"range_end", to_base64(end_of_prefix(prefix))},
+                                         {"range_end", to_base64(end_of_watched(prefix))},
                                          {"limit", "1"},
                                          {"sort_order", "DESCEND"},
                                          {"sort_target", "MOD"},
@@ -237,7 +282,7 @@
 etcd_request encode_watch(const std::string& prefix, revision from)
 {
     const json::object create{{"key", to_base64(prefix)},
-                              {"range_end", to_base64(end_of_prefix(prefix))},
+                              {"range_end", to_base64(end_of_watched(prefix))},
                               {"start_revision", std::to_string(from.get())}};
     return {"/v3/watch", json::serialize(json::object{{"create_request", create}})};
 }
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -19,11 +19,21 @@
     std::string m_key;
 };
 
+/// First letter of the keys of records that only those who need them read. The watch and the full
+/// reading leave them out.
+inline constexpr char unwatched_mark = '~';
+
+/// Reads records under a prefix that changed after a position of the history, oldest change first.
+struct store_read_changes {
+    std::string m_prefix;
+    revision m_since;
+};
+
 /// Writes a record only if its revision is still the expected one; zero expects no record.
 struct store_swap {
     std::string m_key;
     revision m_expected;
-    std::string m_value;
+    std::string m_value;       ///< Empty to remove the record.
     lease_id m_lease;          ///< Zero for a record that outlives its writer.
     std::string m_guard_key;   ///< A second record that must be unchanged; empty for none.
     revision m_guard_revision; ///< Revision that the second record must have.
@@ -57,8 +67,8 @@
 /// A call to the store. The number is echoed in the result.
 struct store_call {
     std::uint64_t m_number = 0;
-    std::variant<store_read, store_swap, store_grant_lease, store_keep_lease, store_revoke_lease,
-                 store_resync>
+    std::variant<store_read, store_read_changes, store_swap, store_grant_lease, store_keep_lease,
+                 store_revoke_lease, store_resync>
         m_operation;
 };
 
@@ -68,6 +78,9 @@
     store_outcome m_outcome = store_outcome::unknown;
     config_record m_record;
     lease_id m_lease;
+    std::vector<config_record> m_records; ///< What a reading of changes shows.
+    revision m_position;                  ///< Position up to which the changes are shown.
+    bool m_more = false;                  ///< Later changes are left to another reading.
 };
 
 /// Records that the store told of by itself. The end of a full reading names every record that
--- a/src/replay/fleet_replay.cpp
+++ b/src/replay/fleet_replay.cpp
@@ -109,7 +109,7 @@
             host.m_rack = rack_id("r" + std::to_string(rack));
             host.m_zone = zone_id("z" + std::to_string(rack % 3 + 1));
             host.m_pool = pool_id(name);
-            m_fleet.m_reports[host.m_id] = {true, false, {}, {}};
+            m_fleet.m_reports[host.m_id].m_up = true;
             m_fleet.m_hosts[host.m_id] = host;
         }
         m_first_size[pool_id(name)] = static_cast<double>(count);
--- a/src/replay/task_replay.cpp
+++ b/src/replay/task_replay.cpp
@@ -62,6 +62,7 @@
             std::vector<task_order> orders;
             place_tasks(m_board, m_now, orders);
             carry_out(orders);
+            m_board.m_changed.clear();
             check_quotas();
         }
         while (m_events.step(until)) {
--- a/standins/platform_role.cpp
+++ b/standins/platform_role.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <boost/json.hpp>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <set>
@@ -6,6 +8,7 @@
 
 #include "core/json_fields.h"
 #include "core/time.h"
+#include "fleet/task_record.h"
 #include "fleet/wave_plan.h"
 #include "net/address.h"
 #include "net/asio.h"
@@ -28,7 +31,9 @@
     platform_role(asio::io_context& context, const options& given)
         : m_context(context), m_store(*parse_address(given.text("store"))),
           m_drain(given.number("drain-ms", 100)), m_reboot(given.number("reboot-ms", 300)),
-          m_pools(given.text("pools", "conversion:8,administrative:4"))
+          m_pools(given.text("pools", "conversion:8,administrative:4")),
+          m_run(given.number("run-ms", 1000)), m_save(given.number("save-ms", 200)),
+          m_record(given.text("record", ""))
     {
         asio::co_spawn(m_context, work(), asio::detached);
     }
@@ -37,10 +42,21 @@
     struct machine {
         host_state m_seen = host_state::serving;
         time_point m_since{};
-        host_report m_report{true, false, {}, {}};
+        host_report m_report{true, false, {}, {8000, 16000, 0}, {}};
         bool m_reported = false;
     };
 
+    /// A task's run on one of the machines.
+    struct run {
+        std::uint64_t m_attempt = 0;
+        std::string m_worker;
+        resources m_declared;
+        time_point m_since{};
+        time_point m_saving_since{};
+        duration m_before{};
+        bool m_active = false;
+    };
+
     asio::awaitable<std::string> call(std::string target, std::string body)
     {
         beast::tcp_stream stream(m_context);
@@ -87,19 +103,37 @@
         }
     }
 
+    /// Records whose keys lie between two, as keys without the prefix and values.
+    asio::awaitable<std::vector<std::pair<std::string, std::string>>> read(std::string first,
+                                                                           std::string end)
+    {
+        const json::object body{{"key", to_base64(prefix + first)},
+                                {"range_end", to_base64(prefix + end)}};
+        const std::string answer = co_await call("/v3/kv/range", json::serialize(body));
+        const auto object = parse_json_object(answer);
+        std::vector<std::pair<std::string, std::string>> records;
+        if (object && object->contains("kvs")) {
+            for (const json::value& entry : object->at("kvs").as_array()) {
+                const std::string key =
+                    from_base64(text_field(entry.as_object(), "key")).value_or("");
+                records.emplace_back(
+                    key.substr(prefix.size()),
+                    from_base64(text_field(entry.as_object(), "value")).value_or(""));
+            }
+        }
+        co_return records;
+    }
+
     asio::awaitable<void> work()
     {
         co_await add_hosts();
         asio::steady_timer timer(m_context);
         while (true) {
-            const json::object body{{"key", to_base64(prefix + "host/")},
-                                    {"range_end", to_base64(prefix + "host0")}};
-            const std::string answer = co_await call("/v3/kv/range", json::serialize(body));
-            const auto object = parse_json_object(answer);
-            if (object && object->contains("kvs")) {
-                for (const json::value& entry : object->at("kvs").as_array()) {
-                    co_await work_on(entry.as_object());
-                }
+            for (const auto& [key, value] : co_await read("host/", "host0")) {
+                co_await work_on(key.substr(5), value);
+            }
+            for (const auto& [key, value] : co_await read("~pool/", "~pool0")) {
+                co_await run_task(key, value);
             }
             timer.expires_after(work_interval);
             error_code ignored;
@@ -107,18 +141,15 @@
         }
     }
 
-    asio::awaitable<void> work_on(const json::object& entry)
+    asio::awaitable<void> work_on(std::string name, std::string value)
     {
-        const std::string key = from_base64(text_field(entry, "key")).value_or("");
-        const std::string name = key.substr(prefix.size() + 5);
-        const std::string value = from_base64(text_field(entry, "value")).value_or("");
         const auto host = parse_fleet_host(name, value);
         if (!host) {
             co_return;
         }
         machine& one = m_machines[name];
         const host_report before = one.m_report;
-        advance(one, *host);
+        advance(name, one, *host);
         const bool changed = before.m_up != one.m_report.m_up ||
                              before.m_empty != one.m_report.m_empty ||
                              before.m_maintained != one.m_report.m_maintained;
@@ -128,7 +159,73 @@
         }
     }
 
-    void advance(machine& one, const fleet_host& host) const
+    [[nodiscard]] bool is_busy(const std::string& name) const
+    {
+        return std::any_of(m_runs.begin(), m_runs.end(), [&name](const auto& entry) {
+            return entry.second.m_active && entry.second.m_worker == name;
+        });
+    }
+
+    /// Starts, saves, ends or stops a task's run as the task's record says.
+    asio::awaitable<void> run_task(std::string key, std::string value)
+    {
+        const std::size_t mark = key.find("/task/");
+        const auto wanted = parse_task({}, {}, value);
+        if (mark == std::string::npos || !wanted) {
+            co_return;
+        }
+        run& one = m_runs[key];
+        const time_point now = read_clock();
+        const bool starts = wanted->m_state == task_state::starting && !wanted->m_cancel_wanted;
+        const std::string report_key = key.substr(0, mark) + "/run/" + key.substr(mark + 6);
+        if (starts && wanted->m_attempt > one.m_attempt) {
+            const bool doubled = one.m_active;
+            one = {wanted->m_attempt,
+                   wanted->m_worker.str(),
+                   wanted->m_declared,
+                   now,
+                   {},
+                   one.m_before,
+                   true};
+            note(key, doubled ? "double" : "start");
+            co_await report(report_key, one, run_state::running);
+        }
+        else if (one.m_active && !starts && wanted->m_state != task_state::checkpointing) {
+            co_await end(key, report_key, one, run_state::stopped);
+        }
+        else if (one.m_active && wanted->m_state == task_state::checkpointing) {
+            one.m_saving_since = one.m_saving_since == time_point{} ? now : one.m_saving_since;
+            if (now - one.m_saving_since >= m_save) {
+                one.m_before += now - one.m_since;
+                co_await end(key, report_key, one, run_state::saved);
+            }
+        }
+        else if (one.m_active && one.m_before + (now - one.m_since) >= m_run) {
+            co_await end(key, report_key, one, run_state::done);
+        }
+    }
+
+    asio::awaitable<void> end(std::string key, std::string report_key, run& one, run_state state)
+    {
+        one.m_active = false;
+        note(key, format_run_report({one.m_attempt, state, {}}));
+        co_await report(std::move(report_key), one, state);
+    }
+
+    asio::awaitable<void> report(std::string key, const run& one, run_state state)
+    {
+        co_await put(std::move(key), format_run_report({one.m_attempt, state, one.m_declared}));
+    }
+
+    /// Keeps a line of what happened to a task, for scripts that check it.
+    void note(const std::string& key, const std::string& what) const
+    {
+        if (!m_record.empty()) {
+            std::ofstream(m_record, std::ios::app) << key << " " << what << "\n";
+        }
+    }
+
+    void advance(const std::string& name, machine& one, const fleet_host& host) const
     {
         const time_point now = read_clock();
         if (host.m_state != one.m_seen) {
@@ -137,7 +234,8 @@
             one.m_report.m_empty = host.m_state == host_state::away;
             one.m_report.m_up = host.m_state != host_state::away;
         }
-        if (host.m_state == host_state::draining && now - one.m_since >= m_drain) {
+        if (host.m_state == host_state::draining && now - one.m_since >= m_drain &&
+            !is_busy(name)) {
             one.m_report.m_empty = true;
         }
         if (host.m_state == host_state::away && now - one.m_since >= m_reboot) {
@@ -151,7 +249,11 @@
     milliseconds m_drain;
     milliseconds m_reboot;
     std::string m_pools;
+    milliseconds m_run;
+    milliseconds m_save;
+    std::string m_record;
     std::map<std::string, machine> m_machines;
+    std::map<std::string, run> m_runs;
 };
 
 } // namespace
--- a/standins/store_table.cpp
+++ b/standins/store_table.cpp
@@ -46,15 +46,19 @@
     const std::string end = bytes_at(request, "range_end");
     const bool keys_only = request.contains("keys_only");
     std::vector<std::pair<std::string, record>> found;
+    const std::int64_t oldest = guavabay::number_field(request, "min_mod_revision");
     for (const auto& [key, one] : m_records) {
-        if (within(key, first, end)) {
+        if (within(key, first, end) && one.m_modified >= oldest) {
             found.emplace_back(key, one);
         }
     }
     if (guavabay::text_field(request, "sort_target") == "MOD") {
         std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
-            return left.second.m_modified > right.second.m_modified;
+            return left.second.m_modified < right.second.m_modified;
         });
+        if (guavabay::text_field(request, "sort_order") == "DESCEND") {
+            std::reverse(found.begin(), found.end());
+        }
     }
     const auto limit = static_cast<std::size_t>(guavabay::number_field(request, "limit"));
     const std::size_t total = found.size();
@@ -109,6 +113,11 @@
             responses.emplace_back(
                 json::object{{"response_put", json::object{{"header", header()}}}});
         }
+        if (const json::value* removal = operation.if_contains("request_delete_range")) {
+            remove(bytes_at(removal->as_object(), "key"));
+            responses.emplace_back(
+                json::object{{"response_delete_range", json::object{{"header", header()}}}});
+        }
         if (const json::value* read = operation.if_contains("request_range")) {
             responses.emplace_back(json::object{{"response_range", range(read->as_object())}});
         }
@@ -147,19 +156,28 @@
     return {{"header", header()}};
 }
 
+void store_table::remove(const std::string& key)
+{
+    if (m_records.erase(key) == 0) {
+        return;
+    }
+    ++m_revision;
+    json::object kv{{"key", guavabay::to_base64(key)},
+                    {"mod_revision", std::to_string(m_revision)}};
+    m_changes.push_back({m_revision, key, {{"type", "DELETE"}, {"kv", std::move(kv)}}});
+}
+
 void store_table::remove_lease(std::int64_t id)
 {
     m_leases.erase(id);
-    for (auto it = m_records.begin(); it != m_records.end();) {
-        if (it->second.m_lease != id) {
-            ++it;
-            continue;
+    std::vector<std::string> keys;
+    for (const auto& [key, one] : m_records) {
+        if (one.m_lease == id) {
+            keys.push_back(key);
         }
-        ++m_revision;
-        json::object kv{{"key", guavabay::to_base64(it->first)},
-                        {"mod_revision", std::to_string(m_revision)}};
-        m_changes.push_back({m_revision, it->first, {{"type", "DELETE"}, {"kv", std::move(kv)}}});
-        it = m_records.erase(it);
+    }
+    for (const std::string& key : keys) {
+        remove(key);
     }
 }
 
--- a/standins/store_table.h
+++ b/standins/store_table.h
@@ -66,6 +66,7 @@
 
     [[nodiscard]] boost::json::object header() const;
     void write(const boost::json::object& request);
+    void remove(const std::string& key);
     void remove_lease(std::int64_t id);
     static boost::json::object describe(const std::string& key, const record& one, bool with_value);
 
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -1,5 +1,7 @@
 #include "support/fake_store.h"
 
+#include <algorithm>
+
 namespace guavabay::test {
 
 store_result fake_store::call(const store_call& wanted)
@@ -14,6 +16,9 @@
         result.m_outcome = store_outcome::done;
         result.m_record = get(read->m_key);
     }
+    else if (const auto* changes = std::get_if<store_read_changes>(&wanted.m_operation)) {
+        read_changes(*changes, result);
+    }
     else if (const auto* swap = std::get_if<store_swap>(&wanted.m_operation)) {
         if (m_drop_calls > 0) {
             --m_drop_calls;
@@ -24,10 +29,16 @@
         const bool holds = guarded && get(swap->m_key).m_revision == swap->m_expected;
         result.m_outcome = holds ? store_outcome::done : store_outcome::refused;
         if (holds) {
-            put(swap->m_key, swap->m_value);
+            const revision written = put(swap->m_key, swap->m_value);
             m_records[swap->m_key].m_lease = swap->m_lease;
+            result.m_record = {swap->m_key, written, swap->m_value};
+        }
+        else {
+            result.m_record = get(swap->m_key);
+        }
+        if (holds && swap->m_value.empty()) {
+            m_records.erase(swap->m_key);
         }
-        result.m_record = get(swap->m_key);
         if (m_lose_answers > 0) {
             --m_lose_answers;
             result.m_outcome = store_outcome::unknown;
@@ -56,8 +67,10 @@
     update.m_full = true;
     update.m_revision = revision(m_revision);
     for (const auto& [key, one] : m_records) {
-        update.m_records.push_back(one.m_record);
-        update.m_shown_keys.push_back(key);
+        if (!key.starts_with(unwatched_mark)) {
+            update.m_records.push_back(one.m_record);
+            update.m_shown_keys.push_back(key);
+        }
     }
     return update;
 }
@@ -67,13 +80,38 @@
     store_update update;
     update.m_revision = revision(m_revision);
     for (const config_record& record : m_history) {
-        if (record.m_revision > position) {
+        if (record.m_revision > position && !record.m_key.starts_with(unwatched_mark)) {
             update.m_records.push_back(record);
         }
     }
     return update;
 }
 
+std::vector<config_record> fake_store::list(const std::string& prefix) const
+{
+    std::vector<config_record> found;
+    for (const auto& [key, one] : m_records) {
+        if (key.starts_with(prefix)) {
+            found.push_back(one.m_record);
+        }
+    }
+    return found;
+}
+
+void fake_store::read_changes(const store_read_changes& wanted, store_result& result) const
+{
+    result.m_records = list(wanted.m_prefix);
+    std::erase_if(result.m_records, [&wanted](const config_record& record) {
+        return record.m_revision <= wanted.m_since;
+    });
+    std::sort(result.m_records.begin(), result.m_records.end(),
+              [](const config_record& left, const config_record& right) {
+                  return left.m_revision < right.m_revision;
+              });
+    result.m_outcome = store_outcome::done;
+    result.m_position = revision(m_revision);
+}
+
 revision fake_store::put(const std::string& key, const std::string& value)
 {
     ++m_revision;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -26,6 +26,9 @@
     /// Writes a record without a comparison, as the platform does.
     revision put(const std::string& key, const std::string& value);
 
+    /// All records whose keys start with a prefix.
+    [[nodiscard]] std::vector<config_record> list(const std::string& prefix) const;
+
     /// Ends a lease and removes its records.
     void end_lease(lease_id lease);
 
@@ -43,6 +46,7 @@
         lease_id m_lease;
     };
 
+    void read_changes(const store_read_changes& wanted, store_result& result) const;
     void remember(config_record record);
 
     std::int64_t m_revision = 1;
--- a/tests/support/virtual_hosts.cpp
+++ b/tests/support/virtual_hosts.cpp
@@ -213,7 +213,9 @@
             result = m_store.call(call);
         }
         const std::uint64_t run = one.m_run;
-        m_events.at(m_now + store_delay, [this, name, run, result] {
+        const auto jitter = static_cast<std::uint64_t>(duration(m_store_jitter).count());
+        const microseconds late(jitter == 0 ? 0 : m_random() % jitter);
+        m_events.at(m_now + store_delay + late, [this, name, run, result] {
             if (m_hosts.at(name).m_run == run) {
                 send_event(name, store_event(result));
             }
@@ -282,6 +284,13 @@
     return request.m_number;
 }
 
+std::uint64_t virtual_hosts::operate(const std::string& name, operator_request request)
+{
+    request.m_number = m_next_call++;
+    send_event(name, request);
+    return request.m_number;
+}
+
 const operator_answer* virtual_hosts::answer(std::uint64_t number) const
 {
     const auto found = m_answers.find(number);
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -57,6 +57,9 @@
     std::uint64_t fleet_call(const std::string& host, operator_verb verb, const std::string& body,
                              const std::string& machine, bool dry_run);
 
+    /// Sends any operator's call to a host; the answer arrives under the returned number.
+    std::uint64_t operate(const std::string& host, operator_request request);
+
     /// The answer to an operator's call; null while there is none.
     [[nodiscard]] const operator_answer* answer(std::uint64_t number) const;
 
@@ -108,6 +111,7 @@
     std::function<bool(const std::string& from, const std::string& to)> m_cut; ///< Lost packets.
     std::set<std::string> m_cut_from_store;
     double m_loss = 0;   ///< Share of packets that are lost.
+    milliseconds m_store_jitter{0}; ///< Results of the store overtake each other by up to this.
     double m_repeat = 0; ///< Share of packets that arrive twice, the second time late.
     std::uint64_t m_packets = 0;
     std::uint64_t m_messages = 0;
--- a/tests/support/virtual_platform.h
+++ b/tests/support/virtual_platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -39,6 +40,8 @@
     std::uint64_t m_violations = 0;       ///< Moments at which a budget was broken.
     std::map<std::string, int> m_reboots; ///< Reboots of each host.
     std::uint64_t m_pool_changes = 0;
+    std::function<bool(const std::string&)> m_is_busy; ///< Whether tasks are left on a host.
+    std::uint64_t m_cut_off = 0;                       ///< Reboots of hosts with tasks.
 
 private:
     struct machine {
