--- a/src/node/task_quotas.cpp
+++ b/src/node/task_quotas.cpp
@@ -65,7 +65,7 @@
 
 /// Writes a new division of a quota. What is given back is no longer used from this moment on.
 void write_quota(node_state& node, const pool_id& pool, task_duty& duty,
-                 const customer_id& customer, quota_record next, node_output& out)
+                 const customer_id& customer, const quota_record& next, node_output& out)
 {
     quota_entry& entry = duty.m_quotas[customer];
     const quota_use before = amount_of(entry.m_record.m_lent, pool);
@@ -164,7 +164,7 @@
         }
         if (is_pressing(entry, next, pool) || now - entry.m_surplus_since >= surplus_time) {
             entry.m_surplus_since = {};
-            write_quota(node, pool, duty, customer, std::move(next), out);
+            write_quota(node, pool, duty, customer, next, out);
         }
     }
 }
--- a/tests/support/virtual_hosts.cpp
+++ b/tests/support/virtual_hosts.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr microseconds network_delay{500};
+constexpr milliseconds late_effect{35};           ///< After another host's next call.
+constexpr milliseconds effect_after_timeout{150}; ///< After the caller has tried again.
 constexpr milliseconds store_delay{2};
 constexpr milliseconds late_repeat{700};
 constexpr wall_time start_of_calendar{std::chrono::seconds(1'790'000'000)};
@@ -207,23 +209,45 @@
             one.m_watching = false;
             continue;
         }
-        store_result result;
-        result.m_number = call.m_number;
-        if (!m_cut_from_store.contains(name)) {
-            result = m_store.call(call);
-        }
-        const std::uint64_t run = one.m_run;
-        const auto jitter = static_cast<std::uint64_t>(duration(m_store_jitter).count());
-        const microseconds late(jitter == 0 ? 0 : m_random() % jitter);
-        m_events.at(m_now + store_delay + late, [this, name, run, result] {
-            if (m_hosts.at(name).m_run == run) {
-                send_event(name, store_event(result));
-            }
-        });
+        run_store_call(name, call);
     }
     check_slots();
 }
 
+void virtual_hosts::run_store_call(const std::string& name, const store_call& call)
+{
+    const store_fate fate = m_fate ? m_fate(name, call) : store_fate::answered;
+    store_result result;
+    result.m_number = call.m_number;
+    const bool arrives = !m_cut_from_store.contains(name) && fate != store_fate::dropped;
+    const bool told = fate == store_fate::answered || fate == store_fate::late;
+    if (arrives && fate == store_fate::late) {
+        m_events.at(m_now + late_effect,
+                    [this, name, call] { answer_store_call(name, m_store.call(call)); });
+        return;
+    }
+    if (arrives && fate == store_fate::late_and_lost) {
+        m_events.at(m_now + effect_after_timeout, [this, call] { m_store.call(call); });
+    }
+    else if (arrives) {
+        const store_result answer = m_store.call(call);
+        result = told ? answer : result;
+    }
+    answer_store_call(name, result);
+}
+
+void virtual_hosts::answer_store_call(const std::string& name, const store_result& result)
+{
+    const auto jitter = static_cast<std::uint64_t>(duration(m_store_jitter).count());
+    const microseconds late(jitter == 0 ? 0 : m_random() % jitter);
+    const std::uint64_t run = m_hosts.at(name).m_run;
+    m_events.at(m_now + store_delay + late, [this, name, run, result] {
+        if (m_hosts.at(name).m_run == run) {
+            send_event(name, store_event(result));
+        }
+    });
+}
+
 void virtual_hosts::check_slots()
 {
     for (const auto& [endpoint, slots] : m_slots) {
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -14,6 +14,10 @@
 
 namespace guavabay::test {
 
+/// What becomes of a call to the store: whether it takes effect at once, after others, after its
+/// caller has given up or never, and whether its answer arrives.
+enum class store_fate : std::uint8_t { answered, lost, late, late_and_lost, dropped };
+
 /// Entry hosts' decisions under a paused clock, with a fake store and a fake network between
 /// them. Everything happens in the order of virtual time; one seed gives one run.
 class virtual_hosts {
@@ -110,9 +114,10 @@
     fake_store m_store;
     std::function<bool(const std::string& from, const std::string& to)> m_cut; ///< Lost packets.
     std::set<std::string> m_cut_from_store;
-    double m_loss = 0;   ///< Share of packets that are lost.
+    double m_loss = 0; ///< Share of packets that are lost.
+    std::function<store_fate(const std::string& host, const store_call& call)> m_fate;
     milliseconds m_store_jitter{0}; ///< Results of the store overtake each other by up to this.
-    double m_repeat = 0; ///< Share of packets that arrive twice, the second time late.
+    double m_repeat = 0;            ///< Share of packets that arrive twice, the second time late.
     std::uint64_t m_packets = 0;
     std::uint64_t m_messages = 0;
     std::uint32_t m_most_overfilled = 0; ///< Most slots in use above an endpoint's number.
@@ -133,6 +138,8 @@
     void deliver(const std::string& from, const std::string& to, const peer_packet& packet,
                  duration delay);
     void follow_store(const std::string& name, host& one);
+    void run_store_call(const std::string& name, const store_call& call);
+    void answer_store_call(const std::string& name, const store_result& result);
     void check_slots();
     [[nodiscard]] wall_time wall() const;
 
