--- a/tests/node/configuration_test.cpp
+++ b/tests/node/configuration_test.cpp
@@ -198,6 +198,38 @@
     }
 }
 
+TEST_CASE("a host that was frozen and missed everything serves nobody until it has learned")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        virtual_hosts hosts(3, seed);
+        settle(hosts);
+        const std::string service = "s" + std::to_string(seed);
+        hosts.list_endpoint(service, "e1", "z1", 8);
+        apply(hosts, "h1", make_contract("a", service), "op1");
+        hosts.run_for(seconds(1));
+        const std::string owner =
+            rendezvous_owner(hosts.node("h1").m_members.serving(hosts.now()), stable_hash(service))
+                ->str();
+        hosts.freeze(owner);
+        hosts.run_for(seconds(2));
+        const std::string other = owner == "h1" ? "h2" : "h1";
+        const auto ended = hosts.end(other, "a", "op2");
+        hosts.run_for(seconds(10));
+        REQUIRE(version_in(hosts.answer(ended)) > 0);
+        hosts.m_cut = [&owner](const std::string& from, const std::string& to) {
+            return from == owner || to == owner;
+        };
+        hosts.m_cut_from_store.insert(owner);
+        hosts.forget_held_back(owner);
+        hosts.thaw(owner);
+        hosts.run_for(milliseconds(120));
+        const request_id request = hosts.want(owner, "a", service);
+        hosts.run_for(milliseconds(300));
+        CHECK_FALSE(hosts.granted(request));
+        CHECK(hosts.refusal(request) == error_kind::not_ready);
+    }
+}
+
 TEST_CASE("a store that answers from the past changes nothing that is in force")
 {
     virtual_hosts hosts(3);
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -46,6 +46,9 @@
     /// Lets a frozen process go on; what was sent to it meanwhile arrives now.
     void thaw(const std::string& host);
 
+    /// Loses everything that was sent to a frozen host.
+    void forget_held_back(const std::string& host) { m_hosts.at(host).m_held_back.clear(); }
+
     /// Applies a contract through a host; the answer arrives under the returned number.
     std::uint64_t apply(const std::string& host, const std::string& body,
                         const std::string& operation, const std::string& who = "anna");
