Name keys by hash after a full reading, and read the store less while nothing waits

Keys of a full reading are now 8 bytes each, and reports of removed hosts are forgotten with them. A pool without waiting tasks is read each 2 s and the quotas only when some is lent. The fault runs also place tasks, let endpoints leave and silence the watches.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -77,6 +77,15 @@
     fetch "127.0.0.1:$1/-/switch/$2/$3" >/dev/null
 }
 
+list_elsewhere() { # NUMBER: writes a listing of another service into the store
+    local key value
+    key=$(printf 'guavabay/endpoint/other/e%s' "$1" | base64 -w0)
+    value=$(printf '{"address":"127.0.0.1:9","zone":"z1","rack":"r1","slots":1,"state":"live"}' |
+        base64 -w0)
+    fetch "127.0.0.1:$store_port/v3/kv/put" -d "{\"key\":\"$key\",\"value\":\"$value\"}" \
+        >/dev/null
+}
+
 stop_process() { # NAME SIGNAL
     local pid=${pid_of[$1]:-}
     if [ -n "$pid" ]; then
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs load through nine entry hosts as separate processes while faults happen in a seeded order,
-# then checks every single request. Usage: scripts/faults.sh [SEED] [ROUNDS]
+# Runs load and tasks through nine entry hosts as separate processes while faults happen in a
+# seeded order, then checks every single request and task. Usage: scripts/faults.sh [SEED] [ROUNDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD=${BUILD:-build}
@@ -19,6 +19,8 @@
 for number in $(seq 1 9); do start_entry "$number"; done
 wait_ready $(seq 1 9)
 "$BUILD/guavabay" contract apply --operators "$operators" --wait 8 examples/contracts >/dev/null
+start_process platform "$BUILD/guavabay-standins" platform --store "127.0.0.1:$store_port" \
+    --pools conversion:8,administrative:4 --record "$WORK/tasks" --run-ms 700
 sleep 2
 
 requests=$((ROUNDS * 2 * 250))
@@ -31,10 +33,15 @@
     --record "$WORK/keyed.told" --seed "$SEED"
 
 dead=""
+left=""
 for round in $(seq 1 "$ROUNDS"); do
     victim=$((RANDOM % 9 + 1))
     endpoint=$((base_port + 101 + RANDOM % 6))
-    case $((RANDOM % 9)) in
+    "$BUILD/guavabay" task submit --operators "$operators" --pool conversion --wait 8 \
+        --customer registrars --kind convert --cpu-millis 2000 \
+        $(seq -f "t$round-%g" 1 10) >>"$WORK/submitted" 2>>"$WORK/refused" &
+    submitter=$!
+    case $((RANDOM % 11)) in
     0) echo "kill h$victim" && stop_process "h$victim" KILL && dead=$victim ;;
     1) echo "freeze h$victim" && stop_process "h$victim" STOP && sleep 1.5 &&
         stop_process "h$victim" CONT ;;
@@ -48,9 +55,19 @@
     7) echo "planned stop of h$victim" && stop_process "h$victim" TERM && dead=$victim ;;
     8) echo "store loses answers and leases" && set_switch "$store_port" lose 3 &&
         set_switch "$store_port" lapse 1 ;;
+    9) echo "endpoint $endpoint leaves for 6 s" && fetch "127.0.0.1:$endpoint/-/leave" >/dev/null &&
+        left=$endpoint && sleep 6 ;;
+    10) echo "store's watches silent" && set_switch "$store_port" silent_watch 1 &&
+        list_elsewhere "$round" && sleep 5 ;;
     esac
     sleep 1
     set_switch "$store_port" outage 0
+    set_switch "$store_port" silent_watch 0
+    if [ -n "$left" ]; then
+        fetch "127.0.0.1:$left/-/return" >/dev/null
+        left=""
+    fi
+    wait "$submitter" || true
     sleep 0.5
     if [ -n "$dead" ]; then
         stop_process "h$dead" KILL || true
@@ -63,5 +80,14 @@
     wait_process $name
     cat "$WORK/$name.out"
 done
+accepted=$(grep -c '"task"' "$WORK/submitted" || true)
+for _ in $(seq 1 300); do
+    "$BUILD/guavabay" task list --operators "$operators" --pool conversion --wait 8 >"$WORK/listed"
+    grep -q "\"states\":{\"done\":[0-9]*}" "$WORK/listed" && break
+    sleep 0.2
+done
+echo "silent watches found: $(cat "$WORK"/h*.log | grep -c 'watch is silent' || true)"
+echo "tasks accepted $accepted, $(grep -o '"states":{[^}]*}' "$WORK/listed")," \
+    "runs started $(grep -c start "$WORK/tasks"), doubled $(grep -c double "$WORK/tasks" || true)"
 "$BUILD/guavabay-standins" check --runs "$run_files" \
     --told "$WORK/get.told,$WORK/post.told,$WORK/keyed.told"
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -1,13 +1,14 @@
 #!/usr/bin/env python3
 """Measures what entry hosts spend on control: processor time, memory, bytes of the inner protocol
 and calls to the store, idle and under changes, and how fast a change is in force everywhere.
-Usage: scripts/measure_control.py ENTRY_HOSTS [--hosts N] [--seconds S] [--rates 0,0.5,5]"""
+Usage: scripts/measure_control.py ENTRY_HOSTS [--hosts N] [--tasks N] [--seconds S] [--rates 0,0.5,5]"""
 import argparse, base64, json, os, subprocess, sys, tempfile, time, urllib.request
 
 parser = argparse.ArgumentParser()
 parser.add_argument("entries", type=int)
 parser.add_argument("--hosts", type=int, default=0)
 parser.add_argument("--contracts", type=int, default=20)
+parser.add_argument("--tasks", type=int, default=0)
 parser.add_argument("--seconds", type=float, default=10)
 parser.add_argument("--rates", default="0,0.5,5")
 given = parser.parse_args()
@@ -97,7 +98,8 @@
             record = {"zone": "z%d" % (rack % 8), "rack": "r%d" % rack, "pool": "pool-%d" % pool,
                       "state": "serving", "maintained": 0,
                       "changed_at": "2026-01-01T00:00:00.000Z"}
-            report = {"up": True, "empty": False, "maintained": 0}
+            report = {"up": True, "empty": False, "maintained": 0, "cpu_millis": 64000,
+                      "memory_mb": 256000, "accelerators": 2}
             for key, value in (("host", record), ("report", report)):
                 call(base, "/v3/kv/put", "POST", json.dumps(
                     {"key": encode("guavabay/%s/worker-%05d" % (key, number)),
@@ -119,6 +121,15 @@
                 time.sleep(0.1)
         for number in range(given.contracts):
             apply(number, 1)
+        for number in range(given.tasks):
+            worker = number % max(1, given.hosts)
+            task = {"customer": "customer-%d" % (number % given.contracts), "kind": "convert",
+                    "cpu_millis": 1000, "memory_mb": 1000, "state": "starting", "attempt": 1,
+                    "worker": "worker-%05d" % worker,
+                    "reserved": {"cpu_millis": 1000, "memory_mb": 1000}}
+            key = "guavabay/~pool/pool-%d/task/task-%06d" % (worker % 24, number)
+            call(base, "/v3/kv/put", "POST", json.dumps(
+                {"key": encode(key), "value": encode(json.dumps(task))}))
         time.sleep(5)
         weight = 2
         for rate in [float(r) for r in given.rates.split(",")]:
@@ -142,10 +153,10 @@
             out = sorted((a[0] - b[0]) / passed / 1000 for a, b in zip(now, sent))
             into = sorted((a[1] - b[1]) / passed / 1000 for a, b in zip(now, sent))
             middle = given.entries // 2
-            print("entries=%d hosts=%d contracts=%d changes/s=%.1f core%%: p50=%.2f max=%.2f "
+            print("entries=%d hosts=%d tasks=%d contracts=%d changes/s=%.1f core%%: p50=%.2f max=%.2f "
                   "resident_mb=%.1f sent_kB/s: p50=%.2f max=%.2f received_kB/s: p50=%.2f max=%.2f "
                   "store_calls/s=%.1f" %
-                  (given.entries, given.hosts, given.contracts, changes / passed, cores[middle],
+                  (given.entries, given.hosts, given.tasks, given.contracts, changes / passed, cores[middle],
                    cores[-1], resident, out[middle], out[-1], into[middle], into[-1], calls))
             sys.stdout.flush()
         times = [time_in_force(i % given.contracts, 950 + i) for i in range(20)]
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -79,10 +79,9 @@
     if (!update.m_full || update.m_revision < node.m_config.newest()) {
         return removed;
     }
-    const std::set<std::string> shown(update.m_shown_keys.begin(), update.m_shown_keys.end());
     for (const std::string_view prefix : {endpoint_prefix, member_prefix}) {
         node.m_config.for_each(std::string(prefix), [&](const config_record& record) {
-            if (!shown.contains(record.m_key)) {
+            if (!contains_key(update.m_shown, record.m_key)) {
                 removed.push_back({record.m_key, update.m_revision, ""});
             }
         });
@@ -147,7 +146,7 @@
     if (update.m_full) {
         node.m_sync.m_store_read = true;
         if (update.m_revision >= node.m_full_reading) {
-            forget_unlisted_hosts(node, update.m_shown_keys);
+            forget_unlisted_hosts(node, update.m_shown);
         }
         node.m_full_reading = std::max(node.m_full_reading, update.m_revision);
     }
--- a/src/node/fleet_records.cpp
+++ b/src/node/fleet_records.cpp
@@ -82,16 +82,15 @@
     return false;
 }
 
-void forget_unlisted_hosts(node_state& node, const std::vector<std::string>& shown_keys)
+void forget_unlisted_hosts(node_state& node, const key_hashes& shown)
 {
-    std::set<worker_id> shown;
-    for (const std::string& key : shown_keys) {
-        if (key.starts_with(host_prefix)) {
-            shown.insert(worker_id(key.substr(host_prefix.size())));
-        }
-    }
-    const std::size_t erased = std::erase_if(
-        node.m_fleet.m_hosts, [&shown](const auto& entry) { return !shown.contains(entry.first); });
+    const auto is_hidden = [&shown](std::string_view prefix) {
+        return [&shown, prefix](const auto& entry) {
+            return !contains_key(shown, std::string(prefix) + entry.first.str());
+        };
+    };
+    const std::size_t erased = std::erase_if(node.m_fleet.m_hosts, is_hidden(host_prefix)) +
+                               std::erase_if(node.m_fleet.m_reports, is_hidden(report_prefix));
     if (erased > 0) {
         note_fleet_change(node);
     }
--- a/src/node/fleet_records.h
+++ b/src/node/fleet_records.h
@@ -9,8 +9,8 @@
 /// duty decides on them and it cannot decide while the store is away.
 bool take_fleet_record(node_state& node, const config_record& record, node_output& out);
 
-/// Forgets hosts that a full reading of the store no longer shows.
-void forget_unlisted_hosts(node_state& node, const std::vector<std::string>& shown_keys);
+/// Forgets hosts and reports that a full reading of the store no longer shows.
+void forget_unlisted_hosts(node_state& node, const key_hashes& shown);
 
 /// Takes note that the record of the wave has changed.
 void follow_wave_record(node_state& node, const config_record& record);
--- a/src/node/task_duties.cpp
+++ b/src/node/task_duties.cpp
@@ -17,9 +17,9 @@
 constexpr milliseconds retry_interval{200};
 constexpr seconds call_patience{10};
 constexpr milliseconds place_interval{100};
-constexpr milliseconds busy_interval{250}; ///< Between readings while tasks wait.
-constexpr seconds idle_interval{1};        ///< Between readings while none does.
-constexpr seconds quotas_interval{1};
+constexpr milliseconds busy_interval{250};    ///< Between readings while tasks wait.
+constexpr seconds idle_interval{2};           ///< Between readings while none does.
+constexpr milliseconds blocked_interval{500}; ///< Between readings of quotas while tasks wait.
 
 void follow_pools(node_state& node)
 {
@@ -65,7 +65,8 @@
 void read_quotas(node_state& node, task_duty& duty, time_point now, node_output& out)
 {
     duty.m_reads_quotas = true;
-    duty.m_next_quotas = now + quotas_interval;
+    duty.m_next_quotas =
+        now + (duty.m_board.m_blocked.empty() ? duration(idle_interval) : blocked_interval);
     const std::string prefix(quota_prefix);
     begin_call(duty, call_store(node, store_read_changes{prefix, duty.m_quotas_seen}, out), now);
 }
@@ -101,7 +102,8 @@
     if (duty.m_call != 0) {
         return;
     }
-    if (now >= duty.m_next_quotas) {
+    const bool shares = !duty.m_board.m_lent.empty() || !duty.m_board.m_blocked.empty();
+    if (shares && now >= duty.m_next_quotas) {
         read_quotas(node, duty, now, out);
     }
     else if (now >= duty.m_next_try) {
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -103,11 +103,12 @@
             last_key = page->m_records.back().m_key;
         }
         for (const config_record& record : page->m_records) {
-            shown.m_shown_keys.push_back(record.m_key);
+            shown.m_shown.push_back(stable_hash(record.m_key));
         }
         m_handler(std::move(*page));
     }
     m_seen = shown.m_revision;
+    std::sort(shown.m_shown.begin(), shown.m_shown.end());
     m_handler(std::move(shown));
     co_return true;
 }
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -83,13 +84,23 @@
     bool m_more = false;                  ///< Later changes are left to another reading.
 };
 
+/// Hashes of keys, in order. A collision would only keep a removed record until the next reading
+/// of another history.
+using key_hashes = std::vector<std::uint64_t>;
+
+/// True when a key is among those whose hashes are given.
+inline bool contains_key(const key_hashes& hashes, const std::string& key)
+{
+    return std::binary_search(hashes.begin(), hashes.end(), stable_hash(key));
+}
+
 /// Records that the store told of by itself. The end of a full reading names every record that
 /// exists.
 struct store_update {
     std::vector<config_record> m_records;
     bool m_full = false;
     revision m_revision; ///< Position of the store's history that a full reading shows.
-    std::vector<std::string> m_shown_keys; ///< All keys, at the end of a full reading.
+    key_hashes m_shown;  ///< All keys, at the end of a full reading.
 };
 
 /// The store answers again, or no longer.
--- a/standins/endpoint_role.cpp
+++ b/standins/endpoint_role.cpp
@@ -192,6 +192,11 @@
             asio::co_spawn(m_context, list("leaving"), asio::detached);
             return "leaving\n";
         }
+        if (target == "/-/return") {
+            m_leaving_since = 0;
+            asio::co_spawn(m_context, list("live"), asio::detached);
+            return "live\n";
+        }
         if (target == "/-/silence") {
             ++m_silenced;
             return "silenced\n";
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -69,9 +69,10 @@
     for (const auto& [key, one] : m_records) {
         if (!key.starts_with(unwatched_mark)) {
             update.m_records.push_back(one.m_record);
-            update.m_shown_keys.push_back(key);
+            update.m_shown.push_back(stable_hash(key));
         }
     }
+    std::sort(update.m_shown.begin(), update.m_shown.end());
     return update;
 }
 
