Size pools by the work of their tasks; draw histograms in the terminal

Cause: pools were sized by demand only in replay, since demand had no source in serve. A pool whose forecast is not known yet is left alone. Measured under the paused clock: 88 tasks on a pool for 64 get 3 more hosts within 8 minutes and the hosts go back after the work; 8 bursts of seconds move none at a move's cost of 10 idle hours.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,6 +31,8 @@
     --method post --keyed yes --record "$WORK/post.told"
 "$BUILD/guavabay-standins" check --runs "$run_files" --told "$WORK/get.told,$WORK/post.told"
 
+"$BUILD/guavabay" status --operators "$operators" --histograms yes
+
 echo "== a maintenance wave over twelve hosts of the fleet"
 start_process platform "$BUILD/guavabay-standins" platform --store "127.0.0.1:$store_port" \
     --pools conversion:8,administrative:4 --record "$WORK/tasks"
--- a/src/app/serve_settings.cpp
+++ b/src/app/serve_settings.cpp
@@ -124,6 +124,11 @@
          "",
          "Whether operators need no key.",
          {"no", "yes"}},
+        text_setting("spare-pool", "",
+                     "Pool that lends hosts to pools which need more; none keeps all sizes."),
+        number_setting("weight-buffer", 1, 1, 1000, "",
+                       "Cost of one idle host for an hour, relative to weight-move."),
+        number_setting("weight-move", 1, 1, 1000, "", "Cost of moving one host to another pool."),
         number_setting("lease-seconds", 10, 3, 120, "s", "Lifetime of this host's lease."),
         number_setting("max-connections", 10000, 1, 1000000, "connections",
                        "Callers' connections at one time."),
@@ -152,6 +157,9 @@
     self.m_incarnation = make_incarnation();
     settings.m_node.m_seed_addresses = values.list("peers");
     settings.m_node.m_lease_time = seconds(values.number("lease-seconds"));
+    settings.m_node.m_spare_pool = pool_id(values.text("spare-pool"));
+    settings.m_node.m_weights = {static_cast<double>(values.number("weight-buffer")),
+                                 static_cast<double>(values.number("weight-move"))};
     settings.m_caller_address = address_of(values, "caller-address");
     settings.m_operator_address = address_of(values, "operator-address");
     settings.m_peer_address = address_of(values, "peer-address");
--- a/src/app/status_command.cpp
+++ b/src/app/status_command.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "app/exit_status.h"
+#include "app/histogram_view.h"
 #include "app/operator_reply.h"
 #include "core/result.h"
 
@@ -74,17 +75,52 @@
     return exit_success;
 }
 
+/// Prints the histograms of all entry hosts, added up.
+int print_histograms(const setting_values& values)
+{
+    histogram_sum sum;
+    int status = exit_success;
+    for (const std::string& text : values.list("operators")) {
+        operator_client client({*parse_address(text)}, values.text("operator-key"));
+        const auto reply = client.call({http::verb::get, "/v1/histograms", "", {}});
+        if (!reply || reply->m_status != ok_status || !sum.add(reply->m_body)) {
+            std::cerr << text << ": " << last_reason() << "\n";
+            status = exit_failure;
+        }
+    }
+    std::cout << sum.describe();
+    return status;
+}
+
+std::vector<setting> status_settings()
+{
+    std::vector<setting> settings = declare_operator_settings();
+    settings.push_back({"histograms",
+                        setting_kind::word,
+                        "no",
+                        false,
+                        0,
+                        0,
+                        "",
+                        "Whether to print the times of requests by customer and class.",
+                        {"no", "yes"}});
+    return settings;
+}
+
 } // namespace
 
 int run_status(const std::vector<std::string>& arguments)
 {
     const std::optional<parsed_command> parsed =
         parse_command("status", "Shows entry hosts and what is in force on them.",
-                      declare_operator_settings(), "NAME...", arguments);
+                      status_settings(), "NAME...", arguments);
     if (!parsed) {
         std::cerr << "guavabay status: " << last_reason() << "\n";
         return exit_usage;
     }
+    if (parsed->m_values.text("histograms") == "yes") {
+        return print_histograms(parsed->m_values);
+    }
     operator_client client = make_operator_client(parsed->m_values);
     const bool as_json = parsed->m_values.text("json") == "yes";
     if (parsed->m_operands.empty()) {
--- a/src/fleet/pool_plan.cpp
+++ b/src/fleet/pool_plan.cpp
@@ -108,7 +108,7 @@
                                           time_point now, wall_time wall)
 {
     for (auto& [pool, forecast] : forecasts) {
-        if (pool == spare) {
+        if (pool == spare || !forecast.m_known) {
             continue;
         }
         const std::uint32_t needed = needed_hosts(fleet, pool, forecast);
--- a/src/fleet/task_upkeep.cpp
+++ b/src/fleet/task_upkeep.cpp
@@ -43,6 +43,13 @@
     return one.m_used.m_memory_mb - one.m_reserved.m_memory_mb;
 }
 
+/// True when a task waits for its customer's quota, which no further host would give it.
+bool is_blocked(const task_board& board, const task& one)
+{
+    const auto found = board.m_blocked.find(one.m_customer);
+    return found != board.m_blocked.end() && found->second.contains(one.m_id);
+}
+
 resources used_on(const task_board& board, const worker_state& worker)
 {
     resources used;
@@ -145,6 +152,27 @@
     relieve_memory(board, worker->second, over.m_memory_mb);
 }
 
+double hosts_wanted(const task_board& board)
+{
+    resources offered;
+    for (const auto& [id, worker] : board.m_workers) {
+        offered = offered + worker.m_capacity;
+    }
+    resources wanted;
+    for (const auto& [id, one] : board.m_tasks) {
+        const bool holds = holds_worker(one.m_state);
+        const bool waits = one.m_state == task_state::waiting && !is_blocked(board, one);
+        wanted = wanted + (holds ? one.m_reserved : waits ? one.m_declared : resources{});
+    }
+    const auto workers = static_cast<double>(board.m_workers.size());
+    const auto share = [workers](std::int64_t need, std::int64_t offer) {
+        return offer <= 0 ? 0 : workers * static_cast<double>(need) / static_cast<double>(offer);
+    };
+    return std::max({share(wanted.m_cpu_millis, offered.m_cpu_millis),
+                     share(wanted.m_memory_mb, offered.m_memory_mb),
+                     share(wanted.m_accelerators, offered.m_accelerators)});
+}
+
 quota_use blocked_by_quota(const task_board& board, const customer_id& customer)
 {
     quota_use total;
--- a/src/fleet/task_upkeep.h
+++ b/src/fleet/task_upkeep.h
@@ -19,6 +19,9 @@
 void on_task_usage(task_board& board, const task_id& id, std::uint64_t attempt,
                    const resources& used);
 
+/// How many of the board's average workers its tasks need, running and waiting together.
+double hosts_wanted(const task_board& board);
+
 /// What the tasks that wait for a customer's quota need of it in total.
 quota_use blocked_by_quota(const task_board& board, const customer_id& customer);
 
--- a/src/metrics/request_metrics.cpp
+++ b/src/metrics/request_metrics.cpp
@@ -44,6 +44,20 @@
             {"p99_ms", histogram.quantile(0.99) * ms_per_second}};
 }
 
+/// The bins that have counts: the upper bound in seconds and the count.
+json::array bins_of(const latency_histogram& histogram)
+{
+    json::array bins;
+    std::uint64_t before = 0;
+    for (const auto& [bound, below] : histogram.cumulative()) {
+        if (below > before) {
+            bins.push_back(json::array{bound, below - before});
+        }
+        before = below;
+    }
+    return bins;
+}
+
 } // namespace
 
 void request_metrics::record(const finished_request& request)
@@ -120,6 +134,7 @@
                            {"queue", percentiles(metrics.m_waited)},
                            {"service", percentiles(metrics.m_ran)},
                            {"request", percentiles(metrics.m_total)},
+                           {"bins", bins_of(metrics.m_total)},
                            {"retries", metrics.m_retries},
                            {"failures", std::move(failures)}});
     }
--- a/src/node/fleet_duties.cpp
+++ b/src/node/fleet_duties.cpp
@@ -17,6 +17,7 @@
 
 constexpr milliseconds retry_interval{200};
 constexpr seconds plan_interval{5}; ///< Longest time without a plan while nothing changes.
+constexpr seconds rebalance_interval{10};
 constexpr std::uint64_t fleet_duty_hash = 0x666c656574ULL;
 
 const wave_record* current_wave(const node_state& node)
@@ -54,8 +55,34 @@
     duty.m_call = call_store(node, std::move(swap), out);
 }
 
+/// True while a wave goes on; pools keep their size meanwhile.
+bool wave_goes_on(const node_state& node)
+{
+    if (!node.m_wave || node.m_wave->m_paused || !node.m_wave->m_stopped.empty()) {
+        return false;
+    }
+    const wave_progress progress = measure_wave(node.m_fleet, *node.m_wave);
+    return progress.m_done + progress.m_failed < progress.m_total;
+}
+
+/// The next move of a host between a pool and the spare pool; empty when none is due.
+std::optional<fleet_write> plan_size_change(node_state& node, time_point now, wall_time wall)
+{
+    if (node.m_settings.m_spare_pool.empty() || now < node.m_next_rebalance) {
+        return std::nullopt;
+    }
+    node.m_next_rebalance = now + rebalance_interval;
+    if (wave_goes_on(node)) {
+        return std::nullopt;
+    }
+    const std::optional<host_change> change =
+        plan_rebalance(node.m_fleet, node.m_forecasts, node.m_settings.m_spare_pool,
+                       node.m_settings.m_weights, now, wall);
+    return change ? std::optional(make_write(*change)) : std::nullopt;
+}
+
 /// The next thing to write; empty when there is nothing to do now.
-std::optional<fleet_write> plan_write(const node_state& node, wall_time wall)
+std::optional<fleet_write> plan_write(node_state& node, time_point now, wall_time wall)
 {
     const wave_record* wave = current_wave(node);
     if (wave != nullptr && wave->m_stopped.empty()) {
@@ -70,10 +97,7 @@
         }
     }
     const std::optional<host_change> change = plan_change(node.m_fleet, wave, wall);
-    if (!change) {
-        return std::nullopt;
-    }
-    return make_write(*change);
+    return change ? make_write(*change) : plan_size_change(node, now, wall);
 }
 
 /// Lets go of the duty; a write under way is fenced off by the next holder.
@@ -98,14 +122,29 @@
     return node.m_fleet_duty.m_stage == fleet_duty::stage::ready;
 }
 
+std::optional<host_id> fleet_duty_owner(const node_state& node, time_point now)
+{
+    return rendezvous_owner(node.m_members.serving(now), fleet_duty_hash);
+}
+
+void on_pool_demand(node_state& node, const pool_demand_message& demand, time_point now)
+{
+    constexpr double thousand = 1000;
+    if (holds_fleet_duty(node) && node.m_pools.contains(demand.m_pool)) {
+        observe_demand(node.m_forecasts, demand.m_pool,
+                       static_cast<double>(demand.m_milli_hosts) / thousand, now);
+    }
+}
+
 void on_fleet_tick(node_state& node, time_point now, wall_time wall, node_output& out)
 {
     fleet_duty& duty = node.m_fleet_duty;
-    const auto candidate = rendezvous_owner(node.m_members.serving(now), fleet_duty_hash);
-    const bool ours = candidate == node.m_settings.m_self.m_host && is_fresh(node, now);
+    const bool ours =
+        fleet_duty_owner(node, now) == node.m_settings.m_self.m_host && is_fresh(node, now);
     const bool fleet_exists = !node.m_fleet.m_hosts.empty() || node.m_wave;
     if (!ours || !fleet_exists) {
         drop_duty(duty);
+        node.m_forecasts.clear();
         return;
     }
     if (!node.m_store_reachable || duty.m_call != 0) {
@@ -132,7 +171,7 @@
         if (!duty.m_write && (duty.m_changed || now >= duty.m_next_try)) {
             duty.m_changed = false;
             duty.m_next_try = now + plan_interval;
-            duty.m_write = plan_write(node, wall);
+            duty.m_write = plan_write(node, now, wall);
             if (duty.m_write) {
                 duty.m_next_try = now;
             }
--- a/src/node/message_handler.cpp
+++ b/src/node/message_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "node/config_sync.h"
 #include "node/contract_changes.h"
+#include "node/fleet_duties.h"
 #include "node/key_duties.h"
 #include "node/membership_duties.h"
 #include "node/operator_work.h"
@@ -159,6 +160,10 @@
     {
         on_task_hint(node(), message.m_pool);
     }
+    void operator()(const pool_demand_message& message) const
+    {
+        on_pool_demand(node(), message, now());
+    }
 
 private:
     [[nodiscard]] node_state& node() const { return m_context.m_node; }
--- a/src/node/node_state.h
+++ b/src/node/node_state.h
@@ -11,6 +11,7 @@
 #include "broker/slot_broker.h"
 #include "config/config_table.h"
 #include "config/config_view.h"
+#include "fleet/pool_plan.h"
 #include "fleet/wave_plan.h"
 #include "ledger/key_ledger.h"
 #include "membership/member_table.h"
@@ -23,6 +24,8 @@
 struct node_settings {
     member m_self;
     std::vector<std::string> m_seed_addresses; ///< Peers to greet first.
+    policy_weights m_weights;                  ///< What idle hosts and moves cost.
+    pool_id m_spare_pool; ///< Pool that lends hosts to others; empty when pools keep their size.
     seconds m_lease_time{10};
     duration m_accept_patience = seconds(10); ///< Longest time until an operator gets an answer.
 };
@@ -147,6 +150,8 @@
     std::set<pool_id> m_pools;         ///< Pools that have hosts.
     std::uint64_t m_pools_version = 0; ///< Version of the fleet that the pools were read from.
     fleet_duty m_fleet_duty;
+    demand_forecasts m_forecasts; ///< Known only to the holder of the fleet's duty.
+    time_point m_next_rebalance{};
     std::map<pool_id, task_duty> m_task_duties;
     std::vector<task_call> m_task_calls;
     revision m_full_reading; ///< Position of the history that the last full reading showed.
--- a/src/node/task_duties.cpp
+++ b/src/node/task_duties.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <boost/json.hpp>
 
-#include "fleet/task_accounting.h"
+#include "fleet/task_upkeep.h"
+#include "node/fleet_duties.h"
 #include "node/node.h"
 #include "node/task_quotas.h"
 #include "node/task_records.h"
@@ -16,6 +17,7 @@
 
 constexpr milliseconds retry_interval{200};
 constexpr seconds call_patience{10};
+constexpr seconds demand_interval{5};
 constexpr milliseconds place_interval{100};
 constexpr milliseconds busy_interval{250};    ///< Between readings while tasks wait.
 constexpr seconds idle_interval{2};           ///< Between readings while none does.
@@ -91,6 +93,22 @@
     place_tasks(duty.m_board, now, orders);
 }
 
+/// Tells the holder of the fleet's duty how much work the pool is asked for.
+void report_demand(const node_state& node, const pool_id& pool, task_duty& duty, time_point now,
+                   node_output& out)
+{
+    constexpr double thousand = 1000;
+    if (now < duty.m_next_demand || node.m_settings.m_spare_pool.empty()) {
+        return;
+    }
+    duty.m_next_demand = now + demand_interval;
+    const std::optional<host_id> owner = fleet_duty_owner(node, now);
+    if (owner) {
+        const auto milli_hosts = static_cast<std::uint64_t>(hosts_wanted(duty.m_board) * thousand);
+        out.m_sends.emplace_back(*owner, pool_demand_message{pool, milli_hosts});
+    }
+}
+
 void work(node_state& node, const pool_id& pool, task_duty& duty, time_point now, wall_time wall,
           node_output& out)
 {
@@ -99,6 +117,7 @@
     place(duty, now);
     share_quotas(node, pool, duty, now, out);
     write_tasks(node, pool, duty, now, out);
+    report_demand(node, pool, duty, now, out);
     if (duty.m_call != 0) {
         return;
     }
--- a/src/node/task_duty.h
+++ b/src/node/task_duty.h
@@ -54,6 +54,7 @@
     time_point m_next_place{};
     time_point m_next_share{};
     time_point m_next_quotas{};
+    time_point m_next_demand{};
     bool m_place = true; ///< Something changed since tasks were placed last.
 };
 
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -427,6 +427,18 @@
     }
 };
 
+/// Tells the holder of the fleet's duty how much work a pool is asked for.
+struct pool_demand_message {
+    pool_id m_pool;
+    std::uint64_t m_milli_hosts = 0; ///< Thousandths of what one of the pool's hosts offers.
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_pool, m_milli_hosts);
+    }
+};
+
 /// Every message of the inner protocol.
 using peer_message =
     std::variant<heartbeat_message, member_ask_message, member_tell_message, record_message,
@@ -436,7 +448,7 @@
                  slot_release_message, holdings_ask_message, holdings_message, status_ask_message,
                  status_tell_message, key_claim_message, key_copy_message, key_copied_message,
                  key_verdict_message, key_transfer_ask_message, key_transfer_message,
-                 task_hint_message>;
+                 task_hint_message, pool_demand_message>;
 
 /// The messages that one process sends to another in one datagram.
 struct peer_packet {
--- a/tests/node/task_duties_test.cpp
+++ b/tests/node/task_duties_test.cpp
@@ -15,9 +15,15 @@
 
 /// Three entry hosts, two pools of workers, and two customers with quotas.
 struct task_bench {
-    explicit task_bench(std::uint64_t seed = 1)
-        : m_hosts(3, seed), m_platform(m_hosts), m_workers(m_hosts, m_platform)
+    explicit task_bench(std::uint64_t seed = 1, const std::string& spare = "",
+                        const policy_weights& weights = {})
+        : m_hosts(0, seed), m_platform(m_hosts), m_workers(m_hosts, m_platform)
     {
+        m_hosts.m_common.m_spare_pool = pool_id(spare);
+        m_hosts.m_common.m_weights = weights;
+        for (const char* name : {"h1", "h2", "h3"}) {
+            m_hosts.start(name, std::string("z") + name[1]);
+        }
         m_hosts.run_for(seconds(5));
         m_platform.add_pool("conversion", 8);
         m_platform.add_pool("payroll", 8);
@@ -347,3 +353,40 @@
     CHECK(bench.m_workers.run_until_ended(std::chrono::minutes(2)));
     bench.check_promises();
 }
+
+TEST_CASE("a pool whose tasks need more hosts gets them from the spare pool and gives them back")
+{
+    task_bench bench(1, "payroll", {30, 1});
+    bench.apply("clara", 500);
+    bench.m_workers.m_run_time = std::chrono::minutes(12);
+    for (int i = 0; i < 88; ++i) {
+        bench.submit("h1", "conversion", "m" + std::to_string(i), task_bench::body("clara", 1000));
+    }
+    bench.m_workers.run_for(seconds(20));
+    CHECK(bench.m_workers.states()["starting"] == 64);
+    bench.m_workers.run_for(std::chrono::minutes(8));
+    CHECK(bench.m_workers.states()["starting"] == 88);
+    const std::uint64_t moved = bench.m_platform.m_pool_changes;
+    CHECK(moved >= 3);
+    CHECK(bench.m_workers.run_until_ended(std::chrono::minutes(30)));
+    bench.m_workers.run_for(std::chrono::minutes(30));
+    CHECK(bench.m_platform.m_pool_changes >= 2 * moved);
+    bench.check_promises();
+}
+
+TEST_CASE("bursts of seconds move no host")
+{
+    task_bench bench(1, "payroll", {1, 10});
+    bench.apply("clara", 500);
+    bench.m_workers.m_run_time = seconds(3);
+    for (int burst = 0; burst < 8; ++burst) {
+        for (int i = 0; i < 100; ++i) {
+            bench.submit("h1", "conversion", "b" + std::to_string(burst * 100 + i),
+                         task_bench::body("clara", 1000));
+        }
+        bench.m_workers.run_for(seconds(45));
+    }
+    CHECK(bench.m_platform.m_pool_changes == 0);
+    CHECK(bench.m_workers.states()["waiting"] == 0);
+    bench.check_promises();
+}
--- a/tests/support/virtual_hosts.cpp
+++ b/tests/support/virtual_hosts.cpp
@@ -53,7 +53,7 @@
 
 void virtual_hosts::start(const std::string& name, const std::string& zone)
 {
-    node_settings settings;
+    node_settings settings = m_common;
     settings.m_self.m_host = host_id(name);
     settings.m_self.m_zone = zone_id(zone);
     settings.m_self.m_incarnation = incarnation(m_next_incarnation++);
--- a/tests/support/virtual_hosts.h
+++ b/tests/support/virtual_hosts.h
@@ -114,6 +114,7 @@
     /// The present moment of the virtual clock.
     [[nodiscard]] time_point now() const { return m_now; }
 
+    node_settings m_common; ///< What the settings of hosts that start from now on share.
     fake_store m_store;
     std::function<bool(const std::string& from, const std::string& to)> m_cut; ///< Lost packets.
     std::set<std::string> m_cut_from_store;
