Keep as many connections to an endpoint as it needs; measure the whole at full size

Cause: entry hosts kept 16 idle connections an endpoint whatever the load, so that with 512 requests at a time most opened a connection of their own. They now keep as many as were in use at one time in the last two periods of 10 s, and send an idempotent request in one write.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -10,8 +10,8 @@
 CORE, MEMORY, BYTES = 3.4, 32.0, 9.0
 
 
-def control(entries, rate):
-    for line in open("docs/measurements/control.txt"):
+def control(entries, rate, name="control"):
+    for line in open("docs/measurements/%s.txt" % name):
         found = re.match(r"entries=%d .*changes/s=%.1f core%%: p50=([\d.]+) max=([\d.]+) "
                          r"resident_mb=([\d.]+) sent_kB/s: p50=([\d.]+) max=([\d.]+) "
                          r"received_kB/s: p50=([\d.]+) max=([\d.]+) store_calls/s=([\d.]+)" %
@@ -29,6 +29,14 @@
     raise SystemExit("no measurement of memory")
 
 
+def task_memory(tasks):
+    for line in open("docs/measurements/tasks.txt"):
+        found = re.match(r"entries=3 hosts=23000 tasks=%d .*resident_mb=([\d.]+)" % tasks, line)
+        if found:
+            return float(found.group(1))
+    raise SystemExit("no measurement with %d tasks" % tasks)
+
+
 def decision(name):
     for line in open("docs/measurements/decisions.txt"):
         words = line.split()
@@ -68,3 +76,19 @@
       (CHANGES, EVENTS, WAVE))
 print("bytes a second grow by %.3f kB an entry host each way (9: %.2f, 64: %.2f)" %
       ((idle[3] - nine[3]) / 55, nine[3], idle[3]))
+
+whole = control(24, 0.5, "tasks")
+still = control(24, 0.0, "tasks")
+holder = (task_memory(33000) - task_memory(0)) / (33000 / 3) * 1024
+print()
+print("| 24 entry hosts, 23,000 hosts, 33,000 tasks, 220 contracts | bound | idle | 0.5 changes/s |")
+print("| --- | --- | --- | --- |")
+print("| core %%, median and busiest | %.1f | %.2f, %.2f | %.2f, %.2f |" %
+      (CORE, still[0], still[1], whole[0], whole[1]))
+print("| resident MB, busiest | %.0f | %.1f | %.1f |" % (MEMORY, still[2], whole[2]))
+print("| kB/s between entry hosts, both ways, busiest | %.1f | %.2f | %.2f |" %
+      (BYTES, still[4] + still[6], whole[4] + whole[6]))
+print("| store calls a second, all hosts, and one waiting watch each | 2000 | %.1f | %.1f |" %
+      (still[7], whole[7]))
+print()
+print("- memory of a pool's holder: %.2f kB a task" % holder)
--- a/src/edge/endpoint_pool.cpp
+++ b/src/edge/endpoint_pool.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace guavabay {
 
@@ -13,7 +14,7 @@
 constexpr milliseconds continue_patience{1000}; ///< Wait for the endpoint to ask for the body.
 constexpr milliseconds write_patience{5000};
 constexpr seconds idle_limit{10};
-constexpr std::size_t max_idle_per_endpoint = 16;
+constexpr seconds peak_period{10}; ///< Connections in use are counted over two of these.
 constexpr unsigned unacknowledged_limit_ms = 1500; ///< Sent bytes without an acknowledgement.
 
 void set_options(beast::tcp_stream& stream)
@@ -94,29 +95,37 @@
     if (!address) {
         co_return answer;
     }
-    std::vector<idle_connection>& idle = m_idle[call.m_address];
-    const bool reused = !idle.empty();
+    connection_set& connections = m_connections[call.m_address];
+    connections.m_peak = std::max(connections.m_peak, ++connections.m_busy);
+    const bool reused = !connections.m_idle.empty();
     std::unique_ptr<beast::tcp_stream> stream;
     if (reused) {
-        stream = std::move(idle.back().m_stream);
-        idle.pop_back();
+        stream = std::move(connections.m_idle.back().m_stream);
+        connections.m_idle.pop_back();
     }
     else {
         stream = co_await connect(*address);
     }
-    if (!stream) {
-        co_return answer;
+    if (stream) {
+        answer = co_await exchange_on(*stream, call, reused);
     }
-    answer = co_await exchange_on(*stream, call, reused);
-    const bool whole = answer.m_end == exchange_end::answered;
-    std::vector<idle_connection>& home = m_idle[call.m_address];
-    if (whole && answer.m_response.keep_alive() && home.size() < max_idle_per_endpoint) {
-        stream->expires_never();
-        home.push_back({std::move(stream), read_clock()});
+    --connections.m_busy;
+    if (answer.m_end == exchange_end::answered && answer.m_response.keep_alive()) {
+        give_back(call.m_address, std::move(stream));
     }
     co_return answer;
 }
 
+void endpoint_pool::give_back(const std::string& address, std::unique_ptr<beast::tcp_stream> stream)
+{
+    connection_set& connections = m_connections[address];
+    const std::size_t wanted = std::max(connections.m_peak, connections.m_former_peak);
+    if (connections.m_idle.size() + connections.m_busy < wanted) {
+        stream->expires_never();
+        connections.m_idle.push_back({std::move(stream), read_clock()});
+    }
+}
+
 asio::awaitable<endpoint_answer> endpoint_pool::exchange_on(beast::tcp_stream& stream,
                                                             endpoint_call& call, bool reused)
 {
@@ -132,21 +141,18 @@
         }
     }
     http::request_serializer<http::string_body> serializer(request);
-    serializer.split(true);
+    serializer.split(!call.m_idempotent);
     beast::flat_buffer buffer;
     error_code error;
-    stream.expires_after(write_patience);
-    if (call.m_idempotent) {
-        if (!call.m_may_send()) {
-            co_return answer;
-        }
-    }
-    co_await http::async_write_header(stream, serializer, to_coroutine(error));
-    if (error) {
-        answer.m_end = call.m_idempotent ? exchange_end::lost : exchange_end::not_sent;
+    if (call.m_idempotent && !call.m_may_send()) {
         co_return answer;
     }
     if (!call.m_idempotent) {
+        stream.expires_after(write_patience);
+        co_await http::async_write_header(stream, serializer, to_coroutine(error));
+        if (error) {
+            co_return answer;
+        }
         stream.expires_after(continue_patience);
         http::response_parser<http::empty_body> interim;
         co_await http::async_read_header(stream, buffer, interim, to_coroutine(error));
@@ -183,11 +189,18 @@
 
 void endpoint_pool::close_stale(time_point now)
 {
-    for (auto it = m_idle.begin(); it != m_idle.end();) {
-        std::erase_if(it->second, [now](const idle_connection& connection) {
+    const bool new_period = now - m_period_began >= peak_period;
+    m_period_began = new_period ? now : m_period_began;
+    for (auto it = m_connections.begin(); it != m_connections.end();) {
+        connection_set& connections = it->second;
+        std::erase_if(connections.m_idle, [now](const idle_connection& connection) {
             return now - connection.m_since > idle_limit;
         });
-        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+        if (new_period) {
+            connections.m_former_peak = std::exchange(connections.m_peak, connections.m_busy);
+        }
+        const bool unused = connections.m_idle.empty() && connections.m_busy == 0;
+        it = unused ? m_connections.erase(it) : std::next(it);
     }
 }
 
--- a/src/edge/endpoint_pool.h
+++ b/src/edge/endpoint_pool.h
@@ -61,13 +61,23 @@
         time_point m_since{};
     };
 
+    /// The connections to one endpoint. As many are kept as were in use at one time of late.
+    struct connection_set {
+        std::vector<idle_connection> m_idle;
+        std::size_t m_busy = 0;
+        std::size_t m_peak = 0;        ///< Most in use at one time in this period.
+        std::size_t m_former_peak = 0; ///< The same of the period before.
+    };
+
+    void give_back(const std::string& address, std::unique_ptr<beast::tcp_stream> stream);
     asio::awaitable<std::unique_ptr<beast::tcp_stream>> connect(const ip_address& address);
     asio::awaitable<endpoint_answer> exchange_on(beast::tcp_stream& stream, endpoint_call& call,
                                                  bool reused);
 
     asio::io_context& m_context;
     std::uint64_t m_max_answer_bytes;
-    std::map<std::string, std::vector<idle_connection>> m_idle;
+    std::map<std::string, connection_set> m_connections;
+    time_point m_period_began{};
 };
 
 } // namespace guavabay
--- a/src/platform/etcd_store.h
+++ b/src/platform/etcd_store.h
@@ -17,7 +17,8 @@
 };
 
 /// A client of a store that speaks the etcd v3 JSON gateway. Runs on one thread's context, keeps
-/// one watch over the whole prefix, and reports everything as store events.
+/// one watch over all keys of the prefix that are not marked as unwatched, and reports everything
+/// as store events.
 class etcd_store {
 public:
     /// Called for each event on the thread of the context.
--- a/standins/store_table.cpp
+++ b/standins/store_table.cpp
@@ -45,29 +45,30 @@
     const std::string first = bytes_at(request, "key");
     const std::string end = bytes_at(request, "range_end");
     const bool keys_only = request.contains("keys_only");
-    std::vector<std::pair<std::string, record>> found;
     const std::int64_t oldest = guavabay::number_field(request, "min_mod_revision");
-    for (const auto& [key, one] : m_records) {
-        if (within(key, first, end) && one.m_modified >= oldest) {
-            found.emplace_back(key, one);
-        }
-    }
-    if (guavabay::text_field(request, "sort_target") == "MOD") {
-        std::sort(found.begin(), found.end(), [](const auto& left, const auto& right) {
-            return left.second.m_modified < right.second.m_modified;
-        });
-        if (guavabay::text_field(request, "sort_order") == "DESCEND") {
-            std::reverse(found.begin(), found.end());
+    std::vector<const std::pair<const std::string, record>*> found;
+    const auto begin = m_records.lower_bound(first);
+    const auto stop = end.empty() ? m_records.upper_bound(first) : m_records.lower_bound(end);
+    for (auto it = begin; it != stop; ++it) {
+        if (it->second.m_modified >= oldest) {
+            found.push_back(&*it);
         }
     }
     const auto limit = static_cast<std::size_t>(guavabay::number_field(request, "limit"));
     const std::size_t total = found.size();
-    if (limit > 0 && found.size() > limit) {
-        found.resize(limit);
+    const std::size_t shown = limit == 0 ? total : std::min(limit, total);
+    if (guavabay::text_field(request, "sort_target") == "MOD") {
+        const bool newest_first = guavabay::text_field(request, "sort_order") == "DESCEND";
+        std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(shown),
+                          found.end(), [newest_first](const auto* left, const auto* right) {
+                              return newest_first
+                                         ? left->second.m_modified > right->second.m_modified
+                                         : left->second.m_modified < right->second.m_modified;
+                          });
     }
     json::array records;
-    for (const auto& [key, one] : found) {
-        records.push_back(describe(key, one, !keys_only));
+    for (std::size_t i = 0; i < shown; ++i) {
+        records.push_back(describe(found[i]->first, found[i]->second, !keys_only));
     }
     return {{"header", header()}, {"kvs", std::move(records)}, {"count", std::to_string(total)}};
 }
@@ -207,12 +208,12 @@
 {
     const std::string first = guavabay::from_base64(key).value_or("");
     const std::string end = guavabay::from_base64(range_end).value_or("");
+    const auto begin = std::lower_bound(
+        m_changes.begin(), m_changes.end(), revision,
+        [](const change& one, std::int64_t wanted) { return one.m_revision < wanted; });
     std::vector<change> found;
-    for (const change& one : m_changes) {
-        if (one.m_revision >= revision && within(one.m_key, first, end)) {
-            found.push_back(one);
-        }
-    }
+    std::copy_if(begin, m_changes.end(), std::back_inserter(found),
+                 [&](const change& one) { return within(one.m_key, first, end); });
     return found;
 }
 
--- a/tests/fleet/quota_share_test.cpp
+++ b/tests/fleet/quota_share_test.cpp
@@ -35,7 +35,8 @@
 
     static quota_use amount(std::uint32_t tasks)
     {
-        return {tasks, {tasks * 1000, tasks * 1000, 0}};
+        const std::int64_t amount = std::int64_t{tasks} * 1000;
+        return {tasks, {amount, amount, 0}};
     }
 
     [[nodiscard]] std::uint32_t lent() const
