Bound what is read of tasks' records and what is learned of kinds of work

Cause: reading the new records as a stranger would write them: an amount such as 2^63-1 in a report went into sums as it stood, a negative one took room away, a quota's count below zero became four billion, and each new kind of work was remembered for good. Amounts are now held between 0 and what may be submitted; 4,096 kinds are learned. A process that stops also finishes operators' calls about tasks first.

--- a/src/fleet/quota_share.cpp
+++ b/src/fleet/quota_share.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::int64_t most_running = 1'000'000'000;
+
 /// The parts of an amount, so that each is treated alike.
 using amounts = std::array<std::int64_t, 4>;
 
@@ -37,9 +39,10 @@
     for (const auto& entry : list->get_object()) {
         if (entry.value().is_object()) {
             const json::object& fields = entry.value().get_object();
-            read[pool_id(std::string(entry.key()))] = {
-                static_cast<std::uint32_t>(number_field(fields, "running")),
-                read_resources(fields)};
+            const auto running =
+                std::clamp<std::int64_t>(number_field(fields, "running"), 0, most_running);
+            read[pool_id(std::string(entry.key()))] = {static_cast<std::uint32_t>(running),
+                                                       read_resources(fields)};
         }
     }
     return read;
--- a/src/fleet/task_record.cpp
+++ b/src/fleet/task_record.cpp
@@ -212,8 +212,10 @@
 
 resources read_resources(const json::object& object)
 {
-    return {number_field(object, "cpu_millis"), number_field(object, "memory_mb"),
-            number_field(object, "accelerators")};
+    const auto amount = [&object](std::string_view name) {
+        return std::clamp<std::int64_t>(number_field(object, name), 0, most_of_a_resource);
+    };
+    return {amount("cpu_millis"), amount("memory_mb"), amount("accelerators")};
 }
 
 void write_resources(const resources& amounts, json::object& object)
--- a/src/fleet/task_record.h
+++ b/src/fleet/task_record.h
@@ -41,7 +41,8 @@
 /// The word for a state, as records and operators use it.
 std::string to_string(task_state state);
 
-/// Reads amounts from the members of an object; absent ones are zero.
+/// Reads amounts from the members of an object; absent and negative ones are zero, and none is
+/// larger than what may be submitted.
 resources read_resources(const boost::json::object& object);
 
 /// Writes amounts as members of an object.
--- a/src/fleet/usage_model.cpp
+++ b/src/fleet/usage_model.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t least_samples = 8;
+constexpr std::size_t max_kinds = 4096; ///< Customers' kinds that are learned.
 constexpr double reserved_quantile = 0.95;
 constexpr double highest_ratio = 2;
 constexpr double lowest_ratio = 0.05;
@@ -40,6 +41,10 @@
 void usage_model::observe(const customer_id& customer, const std::string& kind,
                           const resources& declared, const resources& used)
 {
+    const auto found = m_samples.find({customer, kind});
+    if (found == m_samples.end() && m_samples.size() >= max_kinds) {
+        return;
+    }
     samples& known = m_samples[{customer, kind}];
     const std::size_t slot = known.m_count % sample_count;
     known.m_cpu.at(slot) = ratio(used.m_cpu_millis, declared.m_cpu_millis);
--- a/src/fleet/usage_model.h
+++ b/src/fleet/usage_model.h
@@ -26,6 +26,9 @@
     [[nodiscard]] resources reserve_for(const customer_id& customer, const std::string& kind,
                                         const resources& declared) const;
 
+    /// Number of customers' kinds of which something is known.
+    [[nodiscard]] std::size_t size() const { return m_samples.size(); }
+
 private:
     static constexpr std::size_t sample_count = 32;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -202,7 +202,7 @@
 bool has_finished(const node_state& node)
 {
     const bool idle = node.m_stopping && node.m_edge_idle && node.m_active.empty() &&
-                      node.m_pending.empty() && node.m_changes.empty();
+                      node.m_pending.empty() && node.m_changes.empty() && node.m_task_calls.empty();
     if (!idle) {
         return false;
     }
