Limit how many records of ended tasks are removed at a time

Found by reading: a new holder of a pool counts all ended tasks as ended at its own start, so that ten minutes later it removed all of them in one tick, up to as many as the pool has kept; the store carries some hundred writes a second and the ring to it 4,096. Removals now share the limit of 32 writes under way with all other writes, and a task that changes while its write is under way is written again only if its result differs from it.

--- a/src/node/task_records.cpp
+++ b/src/node/task_records.cpp
@@ -120,7 +120,7 @@
 /// Removes the record of a task that ended long ago.
 void remove_finished(task_duty& duty, time_point now, std::vector<task_id>& removed)
 {
-    while (!duty.m_finished.empty()) {
+    while (!duty.m_finished.empty() && duty.m_writes.size() + removed.size() < most_writes) {
         const auto& [ended, id] = duty.m_finished.front();
         const bool due = now - ended >= finished_time || duty.m_finished.size() > most_finished;
         const auto found = duty.m_board.m_tasks.find(id);
@@ -288,7 +288,10 @@
         if (found == duty.m_board.m_tasks.end()) {
             continue;
         }
-        if (duty.m_writing.contains(id) || duty.m_writes.size() >= most_writes) {
+        if (duty.m_writing.contains(id)) {
+            continue; // The result of the write shows whether another must follow.
+        }
+        if (duty.m_writes.size() >= most_writes) {
             later.push_back(id);
             continue;
         }
--- a/tests/node/task_duties_test.cpp
+++ b/tests/node/task_duties_test.cpp
@@ -111,6 +111,34 @@
     bench.check_promises();
 }
 
+TEST_CASE("a task costs three writes of the store, also when many end at once")
+{
+    task_bench bench;
+    std::uint64_t writes = 0;
+    std::size_t most_at_once = 0;
+    std::map<std::int64_t, std::size_t> by_moment;
+    bench.m_hosts.m_fate = [&](const std::string&, const store_call& call) {
+        const auto* swap = std::get_if<store_swap>(&call.m_operation);
+        if (swap != nullptr && swap->m_key.starts_with("~pool/")) {
+            writes += swap->m_value.empty() ? 0 : 1;
+            const std::int64_t moment = bench.m_hosts.now().time_since_epoch().count();
+            most_at_once = std::max(most_at_once, ++by_moment[moment]);
+        }
+        return store_fate::answered;
+    };
+    for (int i = 0; i < 100; ++i) {
+        bench.submit("h1", "conversion", "w" + std::to_string(i), task_bench::body("anna", 1000));
+        bench.m_workers.run_for(milliseconds(100));
+    }
+    REQUIRE(bench.m_workers.run_until_ended(std::chrono::minutes(3)));
+    CHECK(writes == 300);
+    bench.m_hosts.kill(bench.holder("conversion"));
+    bench.m_workers.run_for(std::chrono::minutes(11));
+    CHECK(bench.m_workers.states().empty());
+    CHECK(most_at_once <= 32);
+    bench.check_promises();
+}
+
 TEST_CASE("tasks run once while holders are killed and frozen and the store loses answers")
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
