Take submissions on the platform: the whole path, thin

Cause: the platform hands in submissions of tasks, which the program could not take. Change: 'guavabay dispatch' with an adapter in platform/; one owner a service, fenced by its record in the store, keeps a log of what was accepted and ended; pure decisions in src/schedule. Ruled out: placing by records in the store as 'serve' does (a write a start; 250 starts a second exceed the store's writes).

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "app/contract_command.h"
+#include "app/dispatch_command.h"
 #include "app/exit_status.h"
 #include "app/fleet_command.h"
 #include "app/operator_client.h"
@@ -18,6 +19,7 @@
 
 constexpr const char* usage = "usage: guavabay COMMAND [FLAGS]\n"
                               "  serve      runs an entry host's process\n"
+                              "  dispatch   runs an entry host that takes submissions\n"
                               "  contract   check, apply, get, list, end, proof\n"
                               "  status     shows entry hosts and what is in force on them\n"
                               "  fleet      status, move\n"
@@ -55,6 +57,9 @@
     if (command == "serve") {
         return guavabay::run_serve(rest);
     }
+    if (command == "dispatch") {
+        return guavabay::run_dispatch(rest);
+    }
     if (command == "contract") {
         return guavabay::run_contract(rest);
     }
--- a/src/app/serve_settings.h
+++ b/src/app/serve_settings.h
@@ -8,7 +8,7 @@
 #include "net/address.h"
 #include "node/node_state.h"
 #include "peer/codec.h"
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 namespace guavabay {
 
--- a/src/core/time.h
+++ b/src/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace guavabay {
 
@@ -23,6 +24,16 @@
     return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
 }
 
+/// Reads a monotonic clock that also counts the time in which the machine was suspended; for
+/// leases and proofs, which others count on. Only the shell calls this.
+inline time_point read_boot_clock()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::duration_cast<duration>(seconds(now.tv_sec)) +
+                      std::chrono::duration_cast<duration>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 /// Reads the calendar; only the threads that run the shell call this.
 inline wall_time read_wall_clock()
 {
--- /dev/null
+++ b/src/dispatch/caller_server.cpp
@@ -0,0 +1,154 @@
+#include "dispatch/caller_server.h"
+
+#include <charconv>
+
+#include "log/log.h"
+#include "platform/names.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_too_large = 413;
+constexpr unsigned status_header_too_large = 431;
+constexpr milliseconds write_time{5000};
+
+milliseconds patience_of(const http::request<http::string_body>& request)
+{
+    const auto field = request.find(
+        {platform::patience_header.data(), platform::patience_header.size()});
+    std::int64_t number = 0;
+    if (field != request.end()) {
+        const auto text = field->value();
+        const auto [end, status] =
+            std::from_chars(text.data(), text.data() + text.size(), number);
+        if (status != std::errc() || end != text.data() + text.size() || number < 0) {
+            number = 0;
+        }
+    }
+    return milliseconds(number);
+}
+
+http::response<http::string_body> make_response(caller_answer&& answer, unsigned version,
+                                                bool keep)
+{
+    http::response<http::string_body> response;
+    response.version(version);
+    response.result(answer.m_status);
+    if (!answer.m_body.empty()) {
+        response.set(http::field::content_type, "application/json");
+    }
+    if (answer.m_retry_after_s > 0) {
+        response.set(http::field::retry_after, std::to_string(answer.m_retry_after_s));
+    }
+    response.body() = std::move(answer.m_body);
+    response.keep_alive(keep);
+    response.prepare_payload();
+    return response;
+}
+
+/// The status for a request that could not be read; zero when there is nobody to tell.
+unsigned status_of(const error_code& error)
+{
+    if (error == http::error::body_limit) {
+        return status_too_large;
+    }
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return status_header_too_large;
+    }
+    const bool ended = error == http::error::end_of_stream ||
+                       error == http::error::partial_message || error == beast::error::timeout ||
+                       error.category() == asio::error::get_system_category() ||
+                       error.category() == asio::error::get_misc_category();
+    return ended ? 0 : status_bad_request;
+}
+
+} // namespace
+
+caller_server::caller_server(asio::io_context& context, const ip_address& address,
+                             request_handler handler)
+    : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler))
+{
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+void caller_server::drain()
+{
+    m_draining = true;
+}
+
+asio::awaitable<void> caller_server::accept()
+{
+    while (true) {
+        error_code error;
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            log_warning("callers: accepting failed: " + error.message());
+            continue;
+        }
+        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> caller_server::serve(asio::ip::tcp::socket socket)
+{
+    ++m_connections;
+    error_code error;
+    socket.set_option(asio::ip::tcp::no_delay(true), error);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool keep = true;
+    while (keep) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(m_limits.m_header_bytes);
+        parser.body_limit(m_limits.m_body_bytes);
+        stream.expires_after(m_limits.m_idle_time);
+        co_await http::async_read_header(stream, buffer, parser, to_coroutine(error));
+        if (!error) {
+            stream.expires_after(m_limits.m_header_time);
+            co_await http::async_read(stream, buffer, parser, to_coroutine(error));
+        }
+        caller_answer answer;
+        unsigned version = 11;
+        if (error) {
+            answer.m_status = status_of(error);
+            if (answer.m_status == 0) {
+                break;
+            }
+            keep = false;
+            ++m_in_flight;
+        }
+        else {
+            ++m_in_flight;
+            m_last_request = read_boot_clock();
+            const http::request<http::string_body>& request = parser.get();
+            version = request.version();
+            keep = request.keep_alive();
+            caller_request taken;
+            taken.m_method = std::string(request.method_string());
+            taken.m_host = std::string(request[http::field::host]);
+            taken.m_path = std::string(request.target());
+            taken.m_patience = patience_of(request);
+            taken.m_body = std::move(parser.get().body());
+            stream.expires_never();
+            answer = co_await m_handler(std::move(taken));
+        }
+        keep = keep && !m_draining;
+        const auto response = make_response(std::move(answer), version, keep);
+        stream.expires_after(write_time);
+        co_await http::async_write(stream, response, to_coroutine(error));
+        --m_in_flight;
+        if (error) {
+            break;
+        }
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    --m_connections;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/dispatch/ownership.cpp
@@ -0,0 +1,104 @@
+#include "dispatch/ownership.h"
+
+#include <algorithm>
+#include <cereal/types/string.hpp>
+#include <tuple>
+
+#include "core/result.h"
+#include "peer/bounded_archive.h"
+
+namespace guavabay {
+
+template <typename Archive>
+void serialize(Archive& archive, host_record& value)
+{
+    archive(value.m_host, value.m_incarnation, value.m_peer_address, value.m_zone,
+            value.m_leaving);
+}
+
+namespace {
+
+/// A host gives a shard away when another owns fewer by this number.
+constexpr std::size_t surplus_difference = 2;
+
+std::size_t owned_by(const std::map<service_id, owner_record>& owners, const host_id& host)
+{
+    return static_cast<std::size_t>(
+        std::count_if(owners.begin(), owners.end(),
+                      [&](const auto& entry) { return entry.second.m_host.m_host == host; }));
+}
+
+} // namespace
+
+std::string encode_host_record(const host_record& record)
+{
+    std::string bytes;
+    bounded_output_archive archive(bytes);
+    archive(record);
+    return bytes;
+}
+
+std::optional<host_record> decode_host_record(std::string_view bytes)
+{
+    try {
+        bounded_input_archive archive(bytes);
+        host_record record;
+        archive(record);
+        return record;
+    }
+    catch (const std::exception& error) {
+        return fail(std::string("malformed host record: ") + error.what());
+    }
+}
+
+std::string member_key(const host_id& host)
+{
+    return std::string(registry_prefix) + "member/" + host.str();
+}
+
+std::string owner_key(const service_id& service)
+{
+    return std::string(registry_prefix) + "owner/" + service.str();
+}
+
+std::optional<std::size_t> takeover_rank(const std::map<host_id, host_record>& members,
+                                         const std::map<service_id, owner_record>& owners,
+                                         const service_id& shard, const host_id& self)
+{
+    std::vector<std::tuple<std::size_t, std::uint64_t, host_id>> candidates;
+    for (const auto& [host, record] : members) {
+        if (!record.m_leaving) {
+            candidates.emplace_back(owned_by(owners, host),
+                                    mix(stable_hash(host.str()), stable_hash(shard.str())), host);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (std::get<2>(candidates[i]) == self) {
+            return i;
+        }
+    }
+    return fail("this host takes no shards");
+}
+
+std::optional<service_id> surplus_shard(const std::map<host_id, host_record>& members,
+                                        const std::map<service_id, owner_record>& owners,
+                                        const host_id& self)
+{
+    const std::size_t own = owned_by(owners, self);
+    const bool surplus = std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+        return !entry.second.m_leaving &&
+               owned_by(owners, entry.first) + surplus_difference <= own;
+    });
+    if (!surplus) {
+        return fail("no host owns far fewer shards");
+    }
+    for (const auto& [shard, owner] : owners) {
+        if (owner.m_host.m_host == self) {
+            return shard;
+        }
+    }
+    return fail("this host owns no shard");
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/dispatch/peer_table.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+
+namespace guavabay {
+
+/// What another host said last.
+struct peer_view {
+    time_point m_heard_at{};
+    bool m_store_answers = false;
+    std::int64_t m_config_revision = 0;
+};
+
+/// Other hosts by address, from the settings, the store and what peers say.
+struct peer_table {
+    std::string m_own_address;
+    std::vector<std::string> m_seeds;
+    std::map<std::string, peer_view> m_peers;
+};
+
+/// Adds an address that may be a host's.
+void learn_peer(peer_table& table, const std::string& address, time_point now);
+
+/// Forgets hosts that were not heard for long and are not in a list of members.
+void forget_peers(peer_table& table, const std::vector<std::string>& members, time_point now);
+
+/// Some hosts to greet, at most the given number, other ones on each turn.
+std::vector<std::string> peers_to_greet(const peer_table& table, std::size_t most,
+                                        std::uint64_t turn);
+
+/// Hosts heard lately that say that the store answers them.
+std::vector<std::string> peers_with_store(const peer_table& table, time_point now);
+
+/// True when most hosts were heard lately and none of them is served by the store.
+bool store_away_for_peers(const peer_table& table, std::size_t members, time_point now);
+
+} // namespace guavabay
--- /dev/null
+++ b/src/dispatch/upkeep_duty.cpp
@@ -0,0 +1,344 @@
+#include "dispatch/upkeep_duty.h"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "core/result.h"
+#include "dispatch/ownership.h"
+#include "log/log.h"
+#include "peer/bounded_archive.h"
+#include "platform/machine_calls.h"
+#include "platform/operator_records.h"
+#include "platform/store_calls.h"
+
+namespace guavabay {
+
+namespace {
+
+/// How often the duty looks at waves and machines, with and without a wave.
+constexpr milliseconds busy_interval{200};
+constexpr milliseconds idle_interval{400};
+
+constexpr milliseconds call_time{1500};
+constexpr milliseconds order_time{1200};
+
+/// An order that was refused or not answered is sent again after this time.
+constexpr milliseconds order_pause{700};
+
+/// Where it is written which machines have begun their upkeep.
+constexpr std::string_view progress_prefix = "w/";
+
+std::string progress_key(std::int64_t wave)
+{
+    return std::string(progress_prefix) + std::to_string(wave);
+}
+
+std::string encode_begun(const wave_progress& wave)
+{
+    std::vector<std::string> names;
+    for (const auto& [id, machine] : wave.m_machines) {
+        if (machine.m_begun) {
+            names.push_back(id.str());
+        }
+    }
+    std::string bytes;
+    bounded_output_archive archive(bytes);
+    archive(names);
+    return bytes;
+}
+
+std::optional<std::set<machine_id>> decode_begun(std::string_view bytes)
+{
+    try {
+        bounded_input_archive archive(bytes);
+        std::vector<std::string> names;
+        archive(names);
+        std::set<machine_id> begun;
+        for (std::string& name : names) {
+            begun.emplace(std::move(name));
+        }
+        return begun;
+    }
+    catch (const std::exception& error) {
+        return fail(std::string("malformed progress of a wave: ") + error.what());
+    }
+}
+
+} // namespace
+
+service_id machines_shard()
+{
+    return service_id("~machines");
+}
+
+upkeep_duty::upkeep_duty(upkeep_surroundings surroundings, revision token)
+    : m_around(std::move(surroundings)), m_token(token.get())
+{
+}
+
+void upkeep_duty::start()
+{
+    asio::co_spawn(
+        *m_around.m_context, [self = shared_from_this()]() { return self->run(); },
+        asio::detached);
+}
+
+bool upkeep_duty::is_proven() const
+{
+    return read_boot_clock() < m_around.m_proven_until();
+}
+
+asio::awaitable<bool> upkeep_duty::read_progress()
+{
+    for (const std::string& prefix : {std::string(progress_prefix), platform::wave_status_prefix()}) {
+        const http_answer answer = co_await m_around.m_store->call(
+            platform::encode_range(prefix, "", false), call_time);
+        const range_result page = platform::decode_range(answer);
+        if (!page.m_ok) {
+            co_return false;
+        }
+        for (const store_item& item : page.m_items) {
+            const std::int64_t number = std::atoll(item.m_key.substr(prefix.size()).c_str());
+            if (prefix == progress_prefix) {
+                if (auto begun = decode_begun(item.m_value)) {
+                    m_begun[number] = std::move(*begun);
+                }
+            }
+            else if (platform::decode_wave_succeeded(item.m_value)) {
+                m_succeeded.insert(number);
+            }
+        }
+    }
+    m_has_read = true;
+    co_return true;
+}
+
+asio::awaitable<bool> upkeep_duty::read_machines()
+{
+    std::vector<machine_listing> listings;
+    std::string page_token;
+    do {
+        const http_answer answer = co_await m_around.m_client->call(
+            *m_around.m_settings->m_machines_address, platform::encode_machine_list(page_token),
+            call_time);
+        platform::machine_page page = platform::decode_machine_list(answer);
+        if (!page.m_ok) {
+            co_return false;
+        }
+        for (machine_listing& machine : page.m_machines) {
+            listings.push_back(std::move(machine));
+        }
+        page_token = page.m_next_page;
+    } while (!page_token.empty());
+    m_listings = std::move(listings);
+    co_return true;
+}
+
+void upkeep_duty::take_waves()
+{
+    for (const auto& [key, item] : m_around.m_operator->items()) {
+        if (!key.starts_with(platform::wave_prefix)) {
+            continue;
+        }
+        const std::optional<upkeep_wave> wave = platform::decode_wave(item.m_value);
+        if (!wave) {
+            log_warning("upkeep: " + key + ": " + last_reason());
+            continue;
+        }
+        if (m_waves.contains(wave->m_number) || m_succeeded.contains(wave->m_number)) {
+            continue;
+        }
+        wave_progress progress;
+        progress.m_wave = *wave;
+        progress.m_seen_at = read_boot_clock();
+        for (const machine_id& machine : wave->m_machines) {
+            upkeep_machine& added = progress.m_machines[machine];
+            if (m_begun[wave->m_number].contains(machine)) {
+                added.m_begun = true;
+                added.m_phase = upkeep_phase::away;
+                added.m_since = progress.m_seen_at;
+            }
+        }
+        log_info("upkeep: wave=" + std::to_string(wave->m_number) +
+                 " machines=" + std::to_string(wave->m_machines.size()) +
+                 " most_at_once=" + std::to_string(wave->m_most_at_once) +
+                 " duration_s=" + std::to_string(wave->m_duration.count()) +
+                 " token=" + std::to_string(m_token.get()));
+        m_waves[wave->m_number] = std::move(progress);
+    }
+}
+
+asio::awaitable<bool> upkeep_duty::write_progress(const wave_progress& wave)
+{
+    store_commit commit;
+    commit.m_guards.emplace_back(owner_key(machines_shard()), revision(m_token.get()));
+    commit.m_puts.push_back({progress_key(wave.m_wave.m_number), encode_begun(wave), lease_id()});
+    commit.m_puts.push_back({platform::wave_status_key(wave.m_wave.m_number),
+                             platform::encode_wave_status(wave.m_succeeded), lease_id()});
+    const http_answer answer =
+        co_await m_around.m_store->call(platform::encode_commit(commit), call_time);
+    const commit_result result = platform::decode_commit(answer);
+    if (result.m_outcome == commit_outcome::conflict) {
+        m_over = true;
+    }
+    co_return result.m_outcome == commit_outcome::done;
+}
+
+asio::awaitable<void> upkeep_duty::order(wave_progress& wave, machine_id machine)
+{
+    upkeep_machine& entry = wave.m_machines[machine];
+    const time_point before = read_boot_clock();
+    if (entry.m_phase == upkeep_phase::draining) {
+        entry.m_phase = upkeep_phase::ordered;
+        entry.m_since = before;
+    }
+    entry.m_next_order = before + order_time + order_pause;
+    const http_answer answer = co_await m_around.m_client->call(
+        *m_around.m_settings->m_machines_address,
+        platform::encode_upkeep(machine, wave.m_wave.m_number, m_around.m_settings->m_host,
+                                m_token),
+        order_time);
+    const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
+    const time_point now = read_boot_clock();
+    entry.m_next_order = now + order_pause;
+    log_info("upkeep: ordered machine=" + machine.str() +
+             " wave=" + std::to_string(wave.m_wave.m_number) +
+             " outcome=" + std::to_string(static_cast<int>(outcome)));
+    switch (outcome) {
+    case platform::machine_outcome::accepted:
+        entry.m_begun = true;
+        entry.m_phase = upkeep_phase::away;
+        entry.m_since = now;
+        break;
+    case platform::machine_outcome::refused_fence:
+        log_warning("upkeep: another holder was seen, giving up");
+        m_over = true;
+        break;
+    case platform::machine_outcome::refused_wave:
+    case platform::machine_outcome::refused_invalid:
+        entry.m_phase = upkeep_phase::done;
+        break;
+    case platform::machine_outcome::refused_busy:
+    case platform::machine_outcome::too_many:
+    case platform::machine_outcome::failed:
+        entry.m_phase = upkeep_phase::draining;
+        break;
+    case platform::machine_outcome::unknown:
+        break;
+    }
+}
+
+asio::awaitable<void> upkeep_duty::advance(wave_progress& wave)
+{
+    const milliseconds upkeep_time = m_around.m_settings->m_upkeep_time;
+    update_wave(wave, m_listings, upkeep_time, read_boot_clock());
+    const auto drained = machines_to_drain(wave, m_listings, read_boot_clock());
+    const bool urgent = is_urgent(wave, upkeep_time, read_boot_clock());
+    std::set<machine_id> clear;
+    for (const auto& [pool, machines] : drained) {
+        if (machines.empty() && !m_cordoned_pools.contains(pool)) {
+            continue;
+        }
+        cordon_request request;
+        request.m_service = pool;
+        request.m_urgent = urgent;
+        for (const machine_id& machine : machines) {
+            request.m_machines.push_back(machine.str());
+        }
+        const bool none = machines.empty();
+        const std::optional<cordon_reply> reply = co_await m_around.m_cordon(std::move(request));
+        if (!reply || !reply->m_owner) {
+            continue;
+        }
+        if (none) {
+            m_cordoned_pools.erase(pool);
+            continue;
+        }
+        m_cordoned_pools.insert(pool);
+        for (const std::string& name : reply->m_clear) {
+            clear.emplace(name);
+        }
+    }
+    const std::vector<machine_id> orders = machines_to_order(wave, clear, read_boot_clock());
+    for (const machine_id& machine : orders) {
+        if (m_over || !is_proven()) {
+            co_return;
+        }
+        co_await order(wave, machine);
+    }
+    const std::set<machine_id>& written = m_begun[wave.m_wave.m_number];
+    const auto begun = static_cast<std::size_t>(
+        std::count_if(wave.m_machines.begin(), wave.m_machines.end(),
+                      [](const auto& entry) { return entry.second.m_begun; }));
+    const bool complete = is_complete(wave);
+    if (begun != written.size() || complete || !wave.m_status_written) {
+        wave.m_succeeded = complete;
+        if (co_await write_progress(wave)) {
+            wave.m_status_written = true;
+            std::set<machine_id>& names = m_begun[wave.m_wave.m_number];
+            for (const auto& [id, machine] : wave.m_machines) {
+                if (machine.m_begun) {
+                    names.insert(id);
+                }
+            }
+            if (complete) {
+                m_succeeded.insert(wave.m_wave.m_number);
+                log_info("upkeep: wave succeeded wave=" + std::to_string(wave.m_wave.m_number));
+            }
+        }
+    }
+}
+
+asio::awaitable<void> upkeep_duty::run()
+{
+    asio::steady_timer timer(*m_around.m_context);
+    while (!m_over) {
+        milliseconds pause = idle_interval;
+        if (is_proven() && m_around.m_settings->m_machines_address) {
+            if (!m_has_read) {
+                co_await read_progress();
+            }
+            if (m_has_read) {
+                take_waves();
+            }
+            if (!m_waves.empty() && co_await read_machines()) {
+                pause = busy_interval;
+                for (auto it = m_waves.begin(); it != m_waves.end() && !m_over;) {
+                    co_await advance(it->second);
+                    const bool over = m_succeeded.contains(it->first) &&
+                                      std::all_of(it->second.m_machines.begin(),
+                                                  it->second.m_machines.end(),
+                                                  [](const auto& entry) {
+                                                      return entry.second.m_phase ==
+                                                             upkeep_phase::done;
+                                                  });
+                    it = over ? m_waves.erase(it) : std::next(it);
+                }
+            }
+            for (const service_id& pool : std::set<service_id>(
+                     m_waves.empty() ? m_cordoned_pools : std::set<service_id>())) {
+                cordon_request nothing;
+                nothing.m_service = pool;
+                const auto reply = co_await m_around.m_cordon(std::move(nothing));
+                if (reply && reply->m_owner) {
+                    m_cordoned_pools.erase(pool);
+                }
+            }
+        }
+        timer.expires_after(pause);
+        error_code ignored;
+        co_await timer.async_wait(to_coroutine(ignored));
+    }
+}
+
+asio::awaitable<void> upkeep_duty::release()
+{
+    m_over = true;
+    store_commit commit;
+    const std::string key = owner_key(machines_shard());
+    commit.m_guards.emplace_back(key, revision(m_token.get()));
+    commit.m_removes.push_back(key);
+    co_await m_around.m_store->call(platform::encode_commit(commit), call_time);
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/fleet/upkeep_plan.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/time.h"
+#include "worker/machine.h"
+
+namespace guavabay {
+
+/// Where the upkeep of one machine stands.
+enum class upkeep_phase : std::uint8_t {
+    waiting,  ///< Its work goes on.
+    draining, ///< Its work is being moved away.
+    ordered,  ///< The order was sent; it may be carried out.
+    away,     ///< It is down for its upkeep.
+    done,     ///< It has begun its upkeep and is back, or it has left for good.
+};
+
+/// One machine of a wave.
+struct upkeep_machine {
+    upkeep_phase m_phase = upkeep_phase::waiting;
+    time_point m_since{};
+    bool m_begun = false;       ///< The platform accepted the order.
+    time_point m_next_order{};  ///< When the order is sent again.
+    time_point m_missing_since{}; ///< Since when the list does not show it.
+    std::uint32_t m_refusals = 0;
+};
+
+/// The holder's view of one wave.
+struct wave_progress {
+    upkeep_wave m_wave;
+    time_point m_seen_at{};
+    bool m_succeeded = false;
+    bool m_status_written = false;
+    std::map<machine_id, upkeep_machine> m_machines;
+};
+
+/// Takes the list of machines: notices which are down and which are back.
+void update_wave(wave_progress& wave, const std::vector<machine_listing>& listings,
+                 milliseconds upkeep_time, time_point now);
+
+/// Chooses machines to drain, and gives all that are to be kept free of work, by pool. Machines
+/// with little work, as the pools tell, go first.
+std::map<service_id, std::vector<machine_id>> machines_to_drain(
+    wave_progress& wave, const std::vector<machine_listing>& listings, time_point now);
+
+/// Machines that are clear of work and may be ordered down without too many being away.
+std::vector<machine_id> machines_to_order(const wave_progress& wave,
+                                          const std::set<machine_id>& clear, time_point now);
+
+/// True when every machine that stays has begun its upkeep.
+bool is_complete(const wave_progress& wave);
+
+/// True when the time left is short for the machines left.
+bool is_urgent(const wave_progress& wave, milliseconds upkeep_time, time_point now);
+
+} // namespace guavabay
--- /dev/null
+++ b/src/net/http_call.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace guavabay {
+
+/// A call over HTTP to a system around this one.
+struct http_call {
+    std::string m_method;
+    std::string m_target;
+    std::vector<std::pair<std::string, std::string>> m_headers;
+    std::string m_body;
+};
+
+/// How far a call came.
+enum class call_progress : std::uint8_t {
+    answered,
+    not_sent, ///< No connection; the other side has not seen the call.
+    unknown,  ///< No whole answer; the call may be carried out, also later.
+};
+
+/// What came of a call.
+struct http_answer {
+    call_progress m_progress = call_progress::unknown;
+    unsigned m_status = 0;
+    std::string m_body;
+};
+
+} // namespace guavabay
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "core/time.h"
+#include "net/address.h"
+#include "net/http_call.h"
+
+namespace guavabay {
+
+/// Calls other systems over HTTP/1.1 and keeps connections for later calls. One call is under way
+/// on a connection; a connection whose answer did not come in time is closed, so that a late
+/// answer reaches no other call. Used on the thread of its context.
+class http_client {
+public:
+    /// Makes a client that keeps at most the given number of idle connections to an address.
+    http_client(asio::io_context& context, std::size_t max_idle_per_address);
+
+    /// Carries out a call within a time.
+    asio::awaitable<http_answer> call(ip_address address, http_call what, milliseconds timeout);
+
+    /// Number of connections opened so far, for the metrics.
+    [[nodiscard]] std::uint64_t opened() const { return m_opened; }
+
+private:
+    using key = std::pair<asio::ip::address, std::uint16_t>;
+
+    std::optional<beast::tcp_stream> take_idle(const key& address);
+
+    asio::io_context& m_context;
+    std::size_t m_max_idle;
+    std::map<key, std::vector<beast::tcp_stream>> m_idle;
+    std::uint64_t m_opened = 0;
+};
+
+} // namespace guavabay
--- a/src/node/node_events.h
+++ b/src/node/node_events.h
@@ -9,7 +9,7 @@
 
 #include "config/config_view.h"
 #include "peer/message.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace guavabay {
 
--- a/src/node/task_duty.h
+++ b/src/node/task_duty.h
@@ -8,7 +8,7 @@
 #include "config/config_view.h"
 #include "fleet/quota_share.h"
 #include "fleet/task_board.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace guavabay {
 
--- /dev/null
+++ b/src/peer/host_link.cpp
@@ -0,0 +1,310 @@
+#include "peer/host_link.h"
+
+#include <cstring>
+
+#include "core/result.h"
+#include "log/log.h"
+
+namespace guavabay {
+
+namespace {
+
+/// Longest wait for a connection to a peer in the same or another zone.
+constexpr milliseconds connect_time{500};
+
+/// Bytes that may wait for a peer that does not read.
+constexpr std::size_t max_waiting_bytes = 16U << 20U;
+
+/// Longest a write to a peer may take.
+constexpr milliseconds write_time{2000};
+
+/// Reads one frame; empty when the connection ended or the frame is malformed.
+asio::awaitable<std::optional<host_frame>> read_frame(asio::ip::tcp::socket& socket,
+                                                      std::string& buffer)
+{
+    error_code error;
+    std::uint32_t length = 0;
+    while (true) {
+        if (buffer.size() >= sizeof length) {
+            std::memcpy(&length, buffer.data(), sizeof length);
+            if (length > max_frame_bytes) {
+                log_warning("peer: a frame is too large");
+                co_return std::nullopt;
+            }
+            if (buffer.size() >= sizeof length + length) {
+                break;
+            }
+        }
+        const std::size_t before = buffer.size();
+        const std::size_t wanted = std::max<std::size_t>(16384, length + sizeof length - before);
+        buffer.resize(before + wanted);
+        const std::size_t got = co_await socket.async_read_some(
+            asio::buffer(buffer.data() + before, wanted), to_coroutine(error));
+        buffer.resize(before + (error ? 0 : got));
+        if (error) {
+            co_return std::nullopt;
+        }
+    }
+    std::optional<host_frame> frame =
+        decode_frame(std::string_view(buffer).substr(sizeof length, length));
+    buffer.erase(0, sizeof length + length);
+    if (!frame) {
+        log_warning("peer: " + last_reason());
+    }
+    co_return frame;
+}
+
+} // namespace
+
+/// A connection to a peer with the calls that wait for replies.
+struct host_link::outgoing {
+    explicit outgoing(asio::io_context& context) : m_socket(context), m_wake(context) {}
+
+    struct waiting_call {
+        asio::steady_timer* m_timer = nullptr;
+        std::optional<host_message> m_reply;
+        bool m_sent = false;
+        bool m_failed = false;
+    };
+
+    void fail_all()
+    {
+        for (auto& [number, call] : m_calls) {
+            call->m_failed = true;
+            call->m_timer->cancel();
+        }
+        m_calls.clear();
+    }
+
+    std::string m_address;
+    asio::ip::tcp::socket m_socket;
+    asio::steady_timer m_wake;
+    std::deque<std::string> m_queue;
+    std::size_t m_queue_bytes = 0;
+    std::map<std::uint64_t, waiting_call*> m_calls;
+    bool m_connected = false;
+    bool m_over = false;
+    std::size_t m_timeouts_in_row = 0;
+};
+
+host_link::host_link(asio::io_context& context, const ip_address& address,
+                     request_handler handler)
+    : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+}
+
+std::shared_ptr<host_link::outgoing> host_link::channel_to(const std::string& address)
+{
+    const auto found = m_channels.find(address);
+    if (found != m_channels.end() && !found->second->m_over) {
+        return found->second;
+    }
+    const std::optional<ip_address> target = parse_address(address);
+    if (!target) {
+        return nullptr;
+    }
+    auto channel = std::make_shared<outgoing>(m_context);
+    channel->m_address = address;
+    m_channels[address] = channel;
+    asio::co_spawn(m_context, run_outgoing(channel, *target), asio::detached);
+    return channel;
+}
+
+void host_link::enqueue(const std::shared_ptr<outgoing>& channel, std::string bytes)
+{
+    channel->m_queue_bytes += bytes.size();
+    channel->m_queue.push_back(std::move(bytes));
+    channel->m_wake.cancel();
+}
+
+asio::awaitable<void> host_link::run_outgoing(std::shared_ptr<outgoing> channel, ip_address target)
+{
+    error_code error;
+    asio::steady_timer limit(m_context, connect_time);
+    limit.async_wait([channel](const error_code& stopped) {
+        if (!stopped && !channel->m_connected) {
+            error_code ignored;
+            channel->m_socket.close(ignored);
+        }
+    });
+    co_await channel->m_socket.async_connect(target.tcp(), to_coroutine(error));
+    limit.cancel();
+    if (!error) {
+        channel->m_connected = true;
+        channel->m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+        asio::co_spawn(m_context, read_replies(channel), asio::detached);
+        while (!channel->m_over) {
+            if (channel->m_queue.empty()) {
+                channel->m_wake.expires_at(asio::steady_timer::time_point::max());
+                co_await channel->m_wake.async_wait(to_coroutine(error));
+                continue;
+            }
+            std::string bytes;
+            while (!channel->m_queue.empty()) {
+                bytes += channel->m_queue.front();
+                channel->m_queue.pop_front();
+            }
+            for (auto& [number, call] : channel->m_calls) {
+                call->m_sent = true;
+            }
+            channel->m_queue_bytes = bytes.size();
+            asio::steady_timer write_limit(m_context, write_time);
+            write_limit.async_wait([channel](const error_code& stopped) {
+                if (!stopped) {
+                    error_code ignored;
+                    channel->m_socket.close(ignored);
+                }
+            });
+            co_await asio::async_write(channel->m_socket, asio::buffer(bytes),
+                                       to_coroutine(error));
+            write_limit.cancel();
+            channel->m_queue_bytes = 0;
+            if (error) {
+                break;
+            }
+        }
+    }
+    channel->m_over = true;
+    error_code ignored;
+    channel->m_socket.close(ignored);
+    channel->fail_all();
+    const auto found = m_channels.find(channel->m_address);
+    if (found != m_channels.end() && found->second == channel) {
+        m_channels.erase(found);
+    }
+}
+
+asio::awaitable<void> host_link::read_replies(std::shared_ptr<outgoing> channel)
+{
+    std::string buffer;
+    while (true) {
+        std::optional<host_frame> frame = co_await read_frame(channel->m_socket, buffer);
+        if (!frame) {
+            break;
+        }
+        channel->m_timeouts_in_row = 0;
+        const auto found = channel->m_calls.find(frame->m_number);
+        if (found == channel->m_calls.end()) {
+            continue;
+        }
+        found->second->m_reply = std::move(frame->m_message);
+        found->second->m_timer->cancel();
+        channel->m_calls.erase(found);
+    }
+    channel->m_over = true;
+    channel->m_wake.cancel();
+}
+
+asio::awaitable<std::optional<host_message>> host_link::call(std::string address,
+                                                             host_message message,
+                                                             milliseconds timeout,
+                                                             bool* was_sent)
+{
+    const std::shared_ptr<outgoing> channel = channel_to(address);
+    if (was_sent != nullptr) {
+        *was_sent = false;
+    }
+    if (!channel || channel->m_queue_bytes > max_waiting_bytes) {
+        co_return fail("no connection to " + address);
+    }
+    const std::uint64_t number = m_next_number++;
+    asio::steady_timer timer(m_context, timeout);
+    outgoing::waiting_call waiting;
+    waiting.m_timer = &timer;
+    channel->m_calls[number] = &waiting;
+    enqueue(channel, encode_frame(number, message));
+    error_code error;
+    co_await timer.async_wait(to_coroutine(error));
+    if (was_sent != nullptr) {
+        *was_sent = waiting.m_sent;
+    }
+    if (waiting.m_reply) {
+        co_return std::move(waiting.m_reply);
+    }
+    if (!waiting.m_failed) {
+        channel->m_calls.erase(number);
+        // A connection on which nothing comes back any more is given up.
+        constexpr std::size_t max_timeouts_in_row = 2;
+        if (++channel->m_timeouts_in_row >= max_timeouts_in_row) {
+            channel->m_over = true;
+            error_code ignored;
+            channel->m_socket.close(ignored);
+            channel->m_wake.cancel();
+        }
+    }
+    co_return fail("no reply from " + address);
+}
+
+void host_link::send(const std::string& address, const host_message& message)
+{
+    const std::shared_ptr<outgoing> channel = channel_to(address);
+    if (channel && channel->m_queue_bytes <= max_waiting_bytes) {
+        enqueue(channel, encode_frame(0, message));
+    }
+}
+
+asio::awaitable<void> host_link::accept()
+{
+    while (true) {
+        error_code error;
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error) {
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+/// Shared by the calls of one connection, which may be answered out of order.
+struct host_link::incoming {
+    explicit incoming(asio::ip::tcp::socket&& taken) : m_socket(std::move(taken)) {}
+
+    asio::ip::tcp::socket m_socket;
+    std::string m_waiting;
+    bool m_writing = false;
+};
+
+asio::awaitable<void> host_link::serve(asio::ip::tcp::socket socket)
+{
+    auto shared = std::make_shared<incoming>(std::move(socket));
+    error_code error;
+    shared->m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    std::string buffer;
+    while (true) {
+        std::optional<host_frame> frame = co_await read_frame(shared->m_socket, buffer);
+        if (!frame) {
+            co_return;
+        }
+        asio::co_spawn(m_context, answer(shared, std::move(*frame)), asio::detached);
+    }
+}
+
+asio::awaitable<void> host_link::answer(std::shared_ptr<incoming> shared, host_frame frame)
+{
+    const std::uint64_t number = frame.m_number;
+    std::optional<host_message> reply = co_await m_handler(std::move(frame.m_message));
+    if (!reply || number == 0) {
+        co_return;
+    }
+    shared->m_waiting += encode_frame(number, *reply);
+    if (shared->m_writing) {
+        co_return;
+    }
+    shared->m_writing = true;
+    while (!shared->m_waiting.empty()) {
+        const std::string bytes = std::move(shared->m_waiting);
+        shared->m_waiting.clear();
+        error_code failed;
+        co_await asio::async_write(shared->m_socket, asio::buffer(bytes), to_coroutine(failed));
+        if (failed) {
+            shared->m_waiting.clear();
+            shared->m_socket.close(failed);
+        }
+    }
+    shared->m_writing = false;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/peer/host_link.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "core/time.h"
+#include "net/address.h"
+#include "peer/host_message.h"
+
+namespace guavabay {
+
+/// Calls between entry hosts: one connection to each peer carries all calls to it, and each reply
+/// names its call. Used on the thread of its context.
+class host_link {
+public:
+    /// Answers a call; an empty result sends no reply.
+    using request_handler =
+        std::function<asio::awaitable<std::optional<host_message>>(host_message)>;
+
+    /// Listens on an address. Throws boost::system::system_error when it is taken.
+    host_link(asio::io_context& context, const ip_address& address, request_handler handler);
+
+    /// Calls a peer; empty with a reason when no reply came in time. The progress tells whether
+    /// the call left this host.
+    asio::awaitable<std::optional<host_message>> call(std::string address, host_message message,
+                                                      milliseconds timeout, bool* was_sent);
+
+    /// Sends a message without a reply.
+    void send(const std::string& address, const host_message& message);
+
+private:
+    struct outgoing;
+    struct incoming;
+
+    std::shared_ptr<outgoing> channel_to(const std::string& address);
+    void enqueue(const std::shared_ptr<outgoing>& channel, std::string bytes);
+    asio::awaitable<void> run_outgoing(std::shared_ptr<outgoing> channel, ip_address target);
+    asio::awaitable<void> read_replies(std::shared_ptr<outgoing> channel);
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    asio::awaitable<void> answer(std::shared_ptr<incoming> shared, host_frame frame);
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    request_handler m_handler;
+    std::map<std::string, std::shared_ptr<outgoing>> m_channels;
+    std::uint64_t m_next_number = 1;
+};
+
+} // namespace guavabay
--- /dev/null
+++ b/src/peer/host_message.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "submission/submission.h"
+
+namespace guavabay {
+
+/// A submission for the owner of its queue's service.
+struct submit_request {
+    service_id m_service;
+    queue_id m_queue;
+    submission_id m_id;
+    std::string m_submission; ///< As encode_submission writes it.
+};
+
+/// How an owner answered a call of a caller.
+enum class owner_answer : std::uint8_t {
+    done,
+    refused,         ///< Not accepted; a later attempt may be.
+    none,            ///< There is no such submission.
+    not_owner,       ///< This host does not own the service, or cannot prove it.
+    store_away,      ///< Nothing can be made durable at the moment; not accepted.
+    unknown,         ///< It may have been accepted.
+};
+
+/// Answer of an owner.
+struct owner_reply {
+    owner_answer m_answer = owner_answer::unknown;
+    std::uint32_t m_retry_after_s = 0;
+    submission_state m_state = submission_state::pending;
+    std::uint64_t m_count = 0;
+};
+
+/// Cancels a submission.
+struct cancel_request {
+    service_id m_service;
+    submission_id m_id;
+};
+
+/// Asks for a submission's state.
+struct state_request {
+    service_id m_service;
+    submission_id m_id;
+};
+
+/// Asks how many submissions of a queue wait.
+struct count_request {
+    service_id m_service;
+    queue_id m_queue;
+};
+
+/// Keeps machines of a service free of work, and no others.
+struct cordon_request {
+    service_id m_service;
+    std::vector<std::string> m_machines;
+    bool m_urgent = false; ///< Work that does not end soon is stopped.
+};
+
+/// Machines of a cordon on which nothing runs any more.
+struct cordon_reply {
+    bool m_owner = false;
+    std::vector<std::string> m_clear;
+};
+
+/// A call to the platform's store that the receiver makes for the sender.
+struct relay_request {
+    std::string m_method;
+    std::string m_target;
+    std::string m_body;
+    std::uint32_t m_timeout_ms = 0;
+};
+
+/// What the store answered to a relayed call.
+struct relay_reply {
+    std::uint8_t m_progress = 0;
+    std::uint32_t m_status = 0;
+    std::string m_body;
+};
+
+/// What a host believes, sent to its peers at intervals.
+struct greeting {
+    std::string m_host;
+    std::string m_address;
+    std::int64_t m_config_revision = 0;
+    bool m_store_answers = false;
+    std::string m_config;          ///< In full, when the receiver is known to be behind.
+    std::vector<std::string> m_peers; ///< Addresses of other hosts.
+};
+
+/// One message between two hosts; a reply carries the number of its request.
+using host_message =
+    std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
+                 relay_request, greeting, owner_reply, cordon_reply, relay_reply>;
+
+/// Encodes a message with its number as one frame, length included.
+std::string encode_frame(std::uint64_t number, const host_message& message);
+
+/// A decoded frame.
+struct host_frame {
+    std::uint64_t m_number = 0;
+    host_message m_message;
+};
+
+/// Decodes a frame without its length; empty with a reason when it is malformed.
+std::optional<host_frame> decode_frame(std::string_view bytes);
+
+/// Largest frame that is accepted, in bytes.
+inline constexpr std::uint32_t max_frame_bytes = 8U << 20U;
+
+} // namespace guavabay
--- /dev/null
+++ b/src/schedule/admission.cpp
@@ -0,0 +1,131 @@
+#include <algorithm>
+
+#include "schedule/shard_steps.h"
+
+namespace guavabay {
+
+namespace {
+
+/// Finishing later than this multiple of the objective earns nothing.
+constexpr int late_multiple = 3;
+
+/// Refused submissions whose first attempt is remembered.
+constexpr std::size_t max_remembered_refusals = 4096;
+
+/// Cores of all sound workers, in thousandths.
+std::int64_t usable_cores(const shard& state, time_point now)
+{
+    std::int64_t sum = 0;
+    for (const auto& [id, worker] : state.m_workers) {
+        if (takes_starts(*worker, now)) {
+            sum += worker->m_info.m_capacity.m_cpu_millis;
+        }
+    }
+    return sum;
+}
+
+bool is_lasting(const submission& what)
+{
+    return std::any_of(what.m_steps.begin(), what.m_steps.end(),
+                       [](const submission_step& step) { return step.m_lasting; });
+}
+
+} // namespace
+
+void set_queues(shard& state, const std::vector<queue_contract>& queues)
+{
+    for (const queue_contract& queue : queues) {
+        if (queue.m_service == state.m_service) {
+            state.m_queues[queue.m_queue] = queue;
+        }
+    }
+    state.m_order_changed = true;
+}
+
+void set_objective(const shard& state, submission_record& record)
+{
+    const queue_contract& contract = contract_of(state, record);
+    const auto found = state.m_durations.find(record.m_queue);
+    const double ratio = found == state.m_durations.end() ? 1 : found->second.m_ratio;
+    const double chain = static_cast<double>(longest_chain(record.m_what).count()) * ratio;
+    const milliseconds span =
+        milliseconds(static_cast<std::int64_t>(contract.m_stretch * chain)) + contract.m_target;
+    record.m_objective = record.m_arrived + span;
+    record.m_late_limit = record.m_arrived + late_multiple * span;
+}
+
+admission_result admit(shard& state, const submission_id& id, const queue_id& queue,
+                       submission what, time_point now, wall_time wall)
+{
+    const auto found = state.m_submissions.find(id);
+    if (found != state.m_submissions.end()) {
+        return {found->second->m_accept_stored ? admission::stored_before : admission::accepted,
+                seconds(0),
+                {}};
+    }
+    auto record = std::make_unique<submission_record>();
+    record->m_id = id;
+    record->m_queue = queue;
+    record->m_what = std::move(what);
+    record->m_accepted_ms = unix_ms(wall);
+    record->m_arrived = now;
+    const auto refused = state.m_refused.find(id);
+    if (refused != state.m_refused.end()) {
+        record->m_arrived = refused->second;
+    }
+    set_objective(state, *record);
+
+    // Work that cannot end within the time in which it still earns anything is refused at once.
+    const std::int64_t cores = usable_cores(state, now);
+    if (cores > 0 && !is_lasting(record->m_what) && record->m_what.m_repeat_count == 0) {
+        double backlog = 0;
+        for (const submission_record* open : state.m_open) {
+            if (now < open->m_late_limit) {
+                backlog += open->m_work_left;
+            }
+        }
+        const duration wait = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(backlog * 1000.0 /
+                                                      static_cast<double>(cores)));
+        if (now + wait > record->m_late_limit) {
+            if (state.m_refused.size() >= max_remembered_refusals) {
+                state.m_refused.clear();
+            }
+            state.m_refused.try_emplace(id, now);
+            const duration over = now + wait - record->m_late_limit;
+            return {admission::refused, std::chrono::ceil<seconds>(over) + seconds(1),
+                    "the work accepted before it takes too long"};
+        }
+    }
+    if (refused != state.m_refused.end()) {
+        state.m_refused.erase(refused);
+    }
+    record->m_work_left = is_lasting(record->m_what) ? 0 : total_work(record->m_what);
+    record->m_occurrences.resize(occurrence_count(record->m_what));
+    if (record->m_what.m_repeat_count == 0) {
+        create_occurrence(*record, 0);
+    }
+    state.m_pending.m_entries.emplace_back(
+        log_accepted{id, queue, record->m_accepted_ms, record->m_what});
+    state.m_open.insert(record.get());
+    state.m_submissions[id] = std::move(record);
+    state.m_order_changed = true;
+    return {admission::accepted, seconds(0), {}};
+}
+
+bool cancel(shard& state, const submission_id& id)
+{
+    const auto found = state.m_submissions.find(id);
+    if (found == state.m_submissions.end()) {
+        return false;
+    }
+    submission_record& record = *found->second;
+    if (record.m_final_decided) {
+        return true;
+    }
+    record.m_cancel_requested = true;
+    state.m_pending.m_entries.emplace_back(log_cancelled{id});
+    return true;
+}
+
+} // namespace guavabay
--- /dev/null
+++ b/src/schedule/ranking.cpp
@@ -0,0 +1,175 @@
+#include <algorithm>
+#include <queue>
+
+#include "schedule/shard_steps.h"
+
+namespace guavabay {
+
+namespace {
+
+/// The order is found again at most this often, unless something ended or came.
+constexpr milliseconds rank_interval{40};
+
+/// How much of a submission is left.
+struct work_left {
+    double m_core_ms = 0;       ///< Core-milliseconds.
+    milliseconds m_chain{0};    ///< Longest chain of steps that are not done.
+    bool m_lasting = false;
+};
+
+work_left measure(const shard& state, const submission_record& record,
+                  const occurrence_state& occurrence)
+{
+    work_left left;
+    const std::vector<submission_step>& steps = record.m_what.m_steps;
+    std::vector<milliseconds> ends(steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        left.m_lasting = left.m_lasting || steps[i].m_lasting;
+        milliseconds begin{0};
+        for (const std::uint32_t earlier : steps[i].m_after) {
+            begin = std::max(begin, ends[earlier]);
+        }
+        const std::uint32_t open = occurrence.m_open[i];
+        const milliseconds each = expected_time(state, record, steps[i]);
+        ends[i] = begin + (open > 0 ? each : milliseconds(0));
+        left.m_chain = std::max(left.m_chain, ends[i]);
+        left.m_core_ms += static_cast<double>(open) *
+                          static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
+                          static_cast<double>(each.count());
+    }
+    return left;
+}
+
+/// A submission in the order in which room is given.
+struct ranked {
+    submission_record* m_record = nullptr;
+    work_left m_left;
+    time_point m_until{}; ///< When it has to be done.
+    int m_tier = 0;       ///< Lasting work, work that can be on time, late work, hopeless work.
+};
+
+constexpr int tier_lasting = 0;
+constexpr int tier_on_time = 1;
+constexpr int tier_late = 2;
+constexpr int tier_hopeless = 3;
+
+/// Moves the largest submissions out of a tier until those that stay can all meet their time
+/// with the cores there are, taken in the order of their times (Moore and Hodgson).
+void drop_overload(std::vector<ranked>& items, int from, int to, double cores, time_point now)
+{
+    std::vector<ranked*> sorted;
+    for (ranked& item : items) {
+        if (item.m_tier == from) {
+            sorted.push_back(&item);
+        }
+    }
+    std::sort(sorted.begin(), sorted.end(), [](const ranked* left, const ranked* right) {
+        return left->m_until < right->m_until;
+    });
+    const auto smaller = [](const ranked* left, const ranked* right) {
+        return left->m_left.m_core_ms < right->m_left.m_core_ms;
+    };
+    std::priority_queue<ranked*, std::vector<ranked*>, decltype(smaller)> kept(smaller);
+    double work = 0;
+    for (ranked* item : sorted) {
+        kept.push(item);
+        work += item->m_left.m_core_ms;
+        const double room = cores * std::max(0.0, to_milliseconds(item->m_until - now));
+        while (work > room && !kept.empty()) {
+            ranked* largest = kept.top();
+            kept.pop();
+            work -= largest->m_left.m_core_ms;
+            largest->m_tier = to;
+        }
+    }
+}
+
+} // namespace
+
+void rank_submissions(shard& state, time_point now, wall_time wall)
+{
+    if (!state.m_order_changed && now - state.m_ranked_at < rank_interval) {
+        return;
+    }
+    state.m_order_changed = false;
+    state.m_ranked_at = now;
+    double cores = 0;
+    for (const auto& [id, worker] : state.m_workers) {
+        if (!takes_starts(*worker, now)) {
+            continue;
+        }
+        cores += static_cast<double>(worker->m_info.m_capacity.m_cpu_millis) / 1000.0;
+        for (const auto& [key, slot] : worker->m_runs) {
+            if (slot.m_lasting) {
+                cores -= static_cast<double>(slot.m_reserved.m_cpu_millis) / 1000.0;
+            }
+        }
+    }
+    std::vector<ranked> items;
+    items.reserve(state.m_open.size());
+    for (submission_record* record : state.m_open) {
+        if (record->m_cancel_requested) {
+            continue;
+        }
+        ranked item{record, {}, record->m_objective, tier_on_time};
+        bool any = false;
+        for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
+            occurrence_state& occurrence = record->m_occurrences[k];
+            if (!occurrence.m_created) {
+                if (due_ms(record->m_what, k) > unix_ms(wall)) {
+                    continue;
+                }
+                create_occurrence(*record, k);
+            }
+            if (occurrence.m_done) {
+                continue;
+            }
+            const work_left left = measure(state, *record, occurrence);
+            if (!any) {
+                item.m_left = left;
+                if (record->m_what.m_repeat_count > 0) {
+                    const milliseconds late(
+                        std::max<std::int64_t>(0, unix_ms(wall) - due_ms(record->m_what, k)));
+                    item.m_until = now - late + (record->m_objective - record->m_arrived);
+                }
+            }
+            any = true;
+        }
+        record->m_work_left = item.m_left.m_lasting ? 0 : item.m_left.m_core_ms;
+        if (!any) {
+            continue;
+        }
+        const time_point late_until =
+            item.m_until + 2 * (record->m_objective - record->m_arrived);
+        if (item.m_left.m_lasting) {
+            item.m_tier = tier_lasting;
+        }
+        else if (now + item.m_left.m_chain > item.m_until) {
+            item.m_tier = now + item.m_left.m_chain > late_until ? tier_hopeless : tier_late;
+            item.m_until = late_until;
+        }
+        items.push_back(item);
+    }
+    drop_overload(items, tier_on_time, tier_late, cores, now);
+    std::sort(items.begin(), items.end(), [&](const ranked& left, const ranked& right) {
+        if (left.m_tier != right.m_tier) {
+            return left.m_tier < right.m_tier;
+        }
+        if (left.m_tier == tier_on_time && left.m_until != right.m_until) {
+            return left.m_until < right.m_until;
+        }
+        if (left.m_tier == tier_late && left.m_left.m_core_ms != right.m_left.m_core_ms) {
+            return left.m_left.m_core_ms < right.m_left.m_core_ms;
+        }
+        if (left.m_record->m_arrived != right.m_record->m_arrived) {
+            return left.m_record->m_arrived < right.m_record->m_arrived;
+        }
+        return left.m_record->m_id < right.m_record->m_id;
+    });
+    state.m_ranked.clear();
+    for (const ranked& item : items) {
+        state.m_ranked.push_back(item.m_record);
+    }
+}
+
+} // namespace guavabay
--- a/src/platform/etcd_codec.cpp
+++ b/src/store/etcd_codec.cpp
@@ -1,4 +1,4 @@
-#include "platform/etcd_codec.h"
+#include "store/etcd_codec.h"
 
 #include <boost/json.hpp>
 
--- a/src/platform/etcd_codec.h
+++ b/src/store/etcd_codec.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace guavabay {
 
--- a/src/platform/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -1,8 +1,8 @@
-#include "platform/etcd_store.h"
+#include "store/etcd_store.h"
 
 #include "core/check.h"
 #include "log/log.h"
-#include "platform/etcd_codec.h"
+#include "store/etcd_codec.h"
 
 namespace guavabay {
 
--- a/src/platform/etcd_store.h
+++ b/src/store/etcd_store.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "net/address.h"
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace guavabay {
 
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/store.h"
+#include "store/store.h"
 
 namespace guavabay::test {
 
