End lost workers' leases; move lasting tasks before upkeep

Cause: each unanswered hold extended the lease that is assumed of a worker, so a lost worker's tasks never started again (LOST); a machine counted as clear while its pool's owner knew no worker of it, and lasting tasks stayed on it (AVAIL); a wave's duration with a fraction was read as zero. Ruled out: too little room (a tenth of the cores was in use at that moment). Change: after an unanswered hold a worker is only asked; a machine is clear when its worker is known and runs nothing; lasting tasks move when their step can bear it.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -539,9 +539,9 @@
         machines.emplace_back(name);
     }
     const time_point now = read_boot_clock();
-    set_cordon(m_shard, machines, now);
+    set_cordon(m_shard, machines, request.m_urgent, now);
     for (const machine_id& machine : machines) {
-        if (is_clear(m_shard, machine, now)) {
+        if (is_clear(m_shard, machine)) {
             reply.m_clear.push_back(machine.str());
         }
     }
--- a/src/dispatch/upkeep_duty.cpp
+++ b/src/dispatch/upkeep_duty.cpp
@@ -162,7 +162,7 @@
         log_info("upkeep: wave=" + std::to_string(wave->m_number) +
                  " machines=" + std::to_string(wave->m_machines.size()) +
                  " most_at_once=" + std::to_string(wave->m_most_at_once) +
-                 " duration_s=" + std::to_string(wave->m_duration.count()) +
+                 " duration_ms=" + std::to_string(wave->m_duration.count()) +
                  " token=" + std::to_string(m_token.get()));
         m_waves[wave->m_number] = std::move(progress);
     }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -17,6 +17,9 @@
 /// A lasting task that is not at work after this time is started elsewhere.
 constexpr milliseconds lasting_stall_time{5000};
 
+/// Work on a machine that is needed soon may go on for this long.
+constexpr milliseconds evacuation_patience{800};
+
 /// Workers that are kept for tasks that found no room, per plan.
 constexpr std::size_t max_kept_workers = 3;
 
@@ -374,6 +377,64 @@
     }
 }
 
+/// Others of a lasting task's step that are not at work.
+std::int32_t others_away(const submission_record& record, const task_name& name)
+{
+    const std::vector<task_state>& tasks =
+        record.m_occurrences[name.m_occurrence].m_steps[name.m_step];
+    std::int32_t away = 0;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        away += i != name.m_index && !tasks[i].m_at_work ? 1 : 0;
+    }
+    return away;
+}
+
+/// True when a lasting task may be stopped to run elsewhere: its step can bear it, and there is
+/// room for it.
+bool may_move(shard& state, const worker_state& worker, const run_slot& slot, time_point now)
+{
+    const found_task found = find_task(state, slot.m_task);
+    if (found.m_task == nullptr || found.m_task->m_worker != &worker) {
+        return false;
+    }
+    const submission_step& step = found.m_record->m_what.m_steps[slot.m_task.m_step];
+    const bool bearable = worker.m_info.m_draining || step.m_max_unavailable < 0 ||
+                          !found.m_task->m_at_work ||
+                          others_away(*found.m_record, slot.m_task) < step.m_max_unavailable;
+    if (!bearable) {
+        return false;
+    }
+    const wanted_task wanted = describe(state, *found.m_record, slot.m_task, *found.m_task);
+    return choose_worker(state, wanted, {}, "", now) != nullptr;
+}
+
+/// Moves lasting tasks off workers that leave or are to be kept free, and other tasks too when the
+/// machine is needed soon.
+void evacuate(shard& state, time_point now)
+{
+    for (const auto& [id, owned] : state.m_workers) {
+        worker_state& worker = *owned;
+        if ((!worker.m_cordoned && !worker.m_info.m_draining) || !worker.m_answered ||
+            worker.m_lapsed) {
+            continue;
+        }
+        for (auto& [key, slot] : worker.m_runs) {
+            if (slot.m_phase != run_phase::running || slot.m_detached) {
+                continue;
+            }
+            if (slot.m_lasting) {
+                if (may_move(state, worker, slot, now)) {
+                    stop_run(state, worker, slot, false);
+                }
+            }
+            else if (worker.m_cordoned && state.m_evacuate &&
+                     now - worker.m_cordoned_since > evacuation_patience) {
+                stop_run(state, worker, slot, false);
+            }
+        }
+    }
+}
+
 /// Lets go of final states that are no longer asked for.
 void forget_old(shard& state, wall_time wall)
 {
@@ -401,8 +462,10 @@
            now - worker.m_heard_at < freshness;
 }
 
-void set_cordon(shard& state, const std::vector<machine_id>& machines, time_point now)
+void set_cordon(shard& state, const std::vector<machine_id>& machines, bool urgent,
+                time_point now)
 {
+    state.m_evacuate = urgent;
     for (const auto& [id, worker] : state.m_workers) {
         const bool wanted = std::find(machines.begin(), machines.end(),
                                       worker->m_info.m_machine) != machines.end();
@@ -413,14 +476,19 @@
     }
 }
 
-bool is_clear(const shard& state, const machine_id& machine, time_point now)
+bool is_clear(const shard& state, const machine_id& machine)
 {
-    (void)now;
-    return std::all_of(state.m_workers.begin(), state.m_workers.end(), [&](const auto& entry) {
-        const worker_state& worker = *entry.second;
-        return worker.m_info.m_machine != machine ||
-               (worker.m_cordoned && worker.m_runs.empty());
-    });
+    bool known = false;
+    for (const auto& [id, worker] : state.m_workers) {
+        if (worker->m_info.m_machine != machine) {
+            continue;
+        }
+        if (!worker->m_cordoned || !worker->m_runs.empty() || !worker->m_answered) {
+            return false;
+        }
+        known = true;
+    }
+    return known;
 }
 
 void plan(shard& state, time_point now, wall_time wall)
@@ -428,6 +496,9 @@
     if (!state.m_loaded || state.m_lost) {
         return;
     }
+    if (state.m_may_start) {
+        evacuate(state, now);
+    }
     review_workers(state, now);
     rank_submissions(state, now, wall);
     if (state.m_may_start) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -136,7 +136,7 @@
     if (!reported.m_checkpoint.empty()) {
         found.m_task->m_checkpoint = reported.m_checkpoint;
     }
-    const bool at_work = reported.m_percent >= 100;
+    const bool at_work = reported.m_percent >= 100 && slot->m_phase == run_phase::running;
     if (slot->m_lasting && at_work != found.m_task->m_at_work) {
         found.m_task->m_at_work = at_work;
         found.m_task->m_away_since = now;
@@ -265,8 +265,11 @@
 
 void stop_run(shard& state, worker_state& worker, run_slot& slot, bool detach)
 {
-    (void)state;
-    (void)worker;
+    const found_task found = find_task(state, slot.m_task);
+    if (is_current(worker, found, slot.m_run)) {
+        // From the order on the task counts as away.
+        found.m_task->m_at_work = false;
+    }
     slot.m_detached = slot.m_detached || detach;
     if (slot.m_phase != run_phase::stopping) {
         slot.m_phase = run_phase::stopping;
@@ -393,7 +396,10 @@
     }
     worker_state& worker = *found->second;
     hold_request request{id, worker.m_info.m_address, std::nullopt, worker.m_stored_end};
-    if (worker.m_answered && worker.m_clock_at != time_point{} && state.m_may_hold) {
+    // A hold that gets no answer may still extend the lease; after a failure the worker is only
+    // asked, so that a lost worker's lease ends.
+    if (worker.m_answered && worker.m_clock_at != time_point{} && state.m_may_hold &&
+        !worker.m_hold_failed) {
         const std::int64_t deadline =
             worker_clock(worker, now) + state.m_bounds.m_worker_lease.count();
         request.m_deadline_ms = deadline;
@@ -434,6 +440,7 @@
                                    state.m_bounds.m_worker_lease / slowest_clock)));
     }
     worker.m_lapsed = false;
+    worker.m_hold_failed = false;
     worker.m_heard_at = now;
     for (const reported_end& end : report.m_ended) {
         if (end.m_number > worker.m_seen_end) {
@@ -456,6 +463,7 @@
     if (found == state.m_workers.end()) {
         return;
     }
+    found->second->m_hold_failed = true;
     if (outcome == order_outcome::refused_fence) {
         state.m_lost = true;
         state.m_notes.push_back("a worker knows a newer owner: worker=" + id.str());
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -137,6 +137,7 @@
     time_point m_clock_at{};          ///< When that answer came.
     time_point m_heard_at{};          ///< When it answered last.
     time_point m_lease_until{};       ///< Its lease has surely ended after this moment.
+    bool m_hold_failed = false;       ///< The last hold was not answered.
     bool m_lapsed = true;             ///< Nothing that we know of can run there.
     std::int64_t m_seen_end = 0;      ///< Newest end that was taken in.
     std::int64_t m_stored_end = 0;    ///< Newest end that is stored.
@@ -223,6 +224,7 @@
     time_point m_awaited_until{};            ///< After it their leases have ended.
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
+    bool m_evacuate = false;                 ///< Cordoned machines are needed soon.
     std::uint64_t m_starts = 0;              ///< Counts orders, for the metrics.
     std::uint64_t m_ends_done = 0;
     std::uint64_t m_ends_other = 0;
@@ -281,11 +283,13 @@
 /// Finds leases that ended, repeats stops, and starts what can be started.
 void plan(shard& state, time_point now, wall_time wall);
 
-/// Keeps machines free for upkeep or a move, or no longer.
-void set_cordon(shard& state, const std::vector<machine_id>& machines, time_point now);
+/// Keeps machines free for upkeep or a move, and no others. When it is urgent, work that would go
+/// on for long is stopped and started elsewhere.
+void set_cordon(shard& state, const std::vector<machine_id>& machines, bool urgent,
+                time_point now);
 
 /// True when nothing runs or can start on the machine's worker.
-bool is_clear(const shard& state, const machine_id& machine, time_point now);
+bool is_clear(const shard& state, const machine_id& machine);
 
 /// Lines for the successor when the owner gives the shard up in order.
 log_released release_note(const shard& state);
--- a/src/worker/machine.h
+++ b/src/worker/machine.h
@@ -12,7 +12,7 @@
 struct upkeep_wave {
     std::int64_t m_number = 0;
     std::vector<machine_id> m_machines;
-    seconds m_duration{0};
+    milliseconds m_duration{0};
     std::uint32_t m_most_at_once = 1;
 };
 
