--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -456,7 +456,7 @@
 
 bool takes_starts(const worker_state& worker, time_point now)
 {
-    return worker.m_answered && !worker.m_lapsed && !worker.m_gone && !worker.m_cordoned &&
+    return worker.m_answered && worker.m_use_stored && !worker.m_lapsed && !worker.m_gone && !worker.m_cordoned &&
            !worker.m_info.m_draining && worker.m_shunned_until <= now &&
            (worker.m_listed || now - worker.m_unlisted_since < unlisted_starts) &&
            now - worker.m_heard_at < freshness;
@@ -501,7 +501,7 @@
     }
     review_workers(state, now);
     rank_submissions(state, now, wall);
-    if (state.m_may_start) {
+    if (state.m_may_start && state.m_taken_stored) {
         start_ready(state, now, wall);
     }
     adjust_paces(state, now);
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -193,6 +193,7 @@
         worker->m_info.m_address = used->m_address;
         worker->m_info.m_service = state.m_service;
         worker->m_unlisted_since = now;
+        worker->m_use_stored = true;
         state.m_workers[used->m_worker] = std::move(worker);
         state.m_awaited.insert(used->m_worker);
     }
@@ -204,11 +205,17 @@
         state.m_awaited.clear();
         state.m_awaited.insert(released->m_busy_workers.begin(), released->m_busy_workers.end());
     }
+    else if (std::holds_alternative<log_taken>(entry)) {
+        for (const auto& [id, worker] : state.m_workers) {
+            state.m_awaited.insert(id);
+        }
+    }
 }
 
 void finish_replay(shard& state, time_point now)
 {
     state.m_loaded = true;
+    state.m_pending.m_entries.emplace_back(log_taken{state.m_token.get()});
     const double slowest_clock = 0.98;
     const auto lease = std::chrono::duration_cast<milliseconds>(
         std::chrono::duration<double, std::milli>(state.m_bounds.m_worker_lease) / slowest_clock);
@@ -350,6 +357,15 @@
                 found->second->m_visible = closed->m_state;
             }
         }
+        else if (std::holds_alternative<log_taken>(entry)) {
+            state.m_taken_stored = true;
+        }
+        else if (const auto* used = std::get_if<log_worker_used>(&entry)) {
+            const auto found = state.m_workers.find(used->m_worker);
+            if (found != state.m_workers.end()) {
+                found->second->m_use_stored = true;
+            }
+        }
         else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
             const auto found = state.m_submissions.find(cancelled->m_id);
             if (found != state.m_submissions.end() && !found->second->m_final_decided) {
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -128,6 +128,7 @@
 /// One life of a worker, as its owner sees it.
 struct worker_state {
     worker_listing m_info;
+    bool m_use_stored = false;        ///< The log says that it is in use.
     bool m_listed = false;            ///< In the platform's list at the last reading.
     time_point m_unlisted_since{};
     time_point m_draining_since{};
@@ -220,6 +221,7 @@
     bool m_may_hold = false;                 ///< Leases may still be renewed.
     bool m_lost = false;                     ///< Another owner was seen.
     bool m_loaded = false;                   ///< The log was read to its end.
+    bool m_taken_stored = false;             ///< The log says that this owner starts tasks.
     std::set<worker_id> m_awaited;           ///< Workers that a former owner may still hold.
     time_point m_awaited_until{};            ///< After it their leases have ended.
     std::map<queue_id, duration_model> m_durations;
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -121,6 +121,12 @@
     archive(value.m_busy_workers);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, log_taken& value)
+{
+    archive(value.m_token);
+}
+
 std::string encode_log(const std::vector<log_entry>& entries)
 {
     return encode_value(entries);
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -52,6 +52,11 @@
     worker_id m_worker;
 };
 
+/// An owner begins to start tasks; every worker that is in use may get some.
+struct log_taken {
+    std::int64_t m_token = 0;
+};
+
 /// Everything is as the log says; no start of the former owner is outstanding on a worker that is
 /// not named here.
 struct log_released {
@@ -60,7 +65,7 @@
 
 /// One line of a shard's log.
 using log_entry = std::variant<log_accepted, log_cancelled, log_task_ended, log_closed,
-                               log_forgotten, log_worker_used, log_worker_gone, log_released>;
+                               log_forgotten, log_worker_used, log_worker_gone, log_released, log_taken>;
 
 /// Encodes the lines of one write to the store.
 std::string encode_log(const std::vector<log_entry>& entries);
