--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -108,7 +108,8 @@
     std::vector<ranked> items;
     items.reserve(state.m_open.size());
     for (submission_record* record : state.m_open) {
-        if (record->m_cancel_requested) {
+        // Nothing starts before the store has the submission: a later owner would not know it.
+        if (record->m_cancel_requested || !record->m_accept_stored) {
             continue;
         }
         ranked item{record, {}, record->m_objective, tier_on_time};
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -349,6 +349,7 @@
             const auto found = state.m_submissions.find(accepted->m_id);
             if (found != state.m_submissions.end()) {
                 found->second->m_accept_stored = true;
+                state.m_order_changed = true;
             }
         }
         else if (const auto* closed = std::get_if<log_closed>(&entry)) {
