Adopt runs whose earlier steps' ends are not known yet

Ruled out: the former owner's late starts (all starts preceded the change of owner). Change: a run found on a worker is attached to its task whatever the state of earlier steps; a run that is not wanted is stopped while it keeps the task from being started.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -240,6 +240,13 @@
            !(task.m_inherited && awaited);
 }
 
+bool earlier_steps_done(const submission_step& step, const occurrence_state& occurrence)
+{
+    return std::all_of(step.m_after.begin(), step.m_after.end(), [&](std::uint32_t earlier) {
+        return occurrence.m_open[earlier] == 0;
+    });
+}
+
 /// Starts all members of a gang at once, or none.
 void start_gang(shard& state, submission_record& record, std::uint32_t occurrence,
                 std::uint32_t step_index, time_point now)
@@ -306,7 +313,8 @@
                 continue;
             }
             for (std::uint32_t s = 0; s < occurrence.m_steps.size(); ++s) {
-                if (occurrence.m_open[s] == 0) {
+                if (occurrence.m_open[s] == 0 ||
+                    !earlier_steps_done(record->m_what.m_steps[s], occurrence)) {
                     continue;
                 }
                 if (record->m_what.m_steps[s].m_gang) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -78,7 +78,7 @@
     slot.m_percent = reported.m_percent;
     slot.m_progress_at = now;
     const found_task found = find_task(state, reported.m_task);
-    bool keep = false;
+    bool free = false;
     if (found.m_task != nullptr) {
         const submission_step& step = found.m_record->m_what.m_steps[reported.m_task.m_step];
         slot.m_reserved = step.m_demand;
@@ -91,15 +91,18 @@
         if (step.m_fills) {
             slot.m_reserved.m_cpu_millis = 0;
         }
-        keep = found.m_task->m_phase == task_phase::ready && found.m_task->m_inherited;
+        // The ends that let it start may not be known here yet.
+        free = found.m_task->m_phase == task_phase::ready ||
+               found.m_task->m_phase == task_phase::blocked;
     }
     worker.m_reserved = worker.m_reserved + slot.m_reserved;
     run_slot& added =
         worker.m_runs.insert_or_assign({reported.m_task, reported.m_run}, slot).first->second;
-    if (!keep) {
+    if (!free) {
         stop_run(state, worker, added, true);
         return;
     }
+    // Even a run that is not wanted keeps its task from being started beside it.
     task_state& task = *found.m_task;
     task.m_phase = task_phase::placed;
     task.m_worker = &worker;
@@ -107,6 +110,9 @@
     task.m_checkpoint = reported.m_checkpoint;
     task.m_at_work = reported.m_percent >= 100;
     found.m_record->m_started = true;
+    if (!task.m_inherited) {
+        stop_run(state, worker, added, false);
+    }
 }
 
 void take_running(shard& state, worker_state& worker, const reported_run& reported,
