Wait for runs of unknown size to end before starting beside them

Ruled out: starts of the former owner that came late (all were listed at the first hold). Change: no start on a worker while it holds a run whose size is not known.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -92,6 +92,13 @@
     });
 }
 
+/// True when it is known what everything on a worker takes.
+bool room_is_known(const worker_state& worker)
+{
+    return std::none_of(worker.m_runs.begin(), worker.m_runs.end(),
+                        [](const auto& entry) { return entry.second.m_unknown_size; });
+}
+
 bool may_run_on(const worker_state& worker, const wanted_task& wanted)
 {
     const submission_step& step = *wanted.m_step;
@@ -140,7 +147,7 @@
                                                  (state.m_bounds.m_remote_factor - 1));
     for (const auto& [id, owned] : state.m_workers) {
         worker_state& worker = *owned;
-        if (!takes_starts(worker, now) ||
+        if (!takes_starts(worker, now) || !room_is_known(worker) ||
             !fits(wanted.m_demand, worker.m_info.m_capacity - worker.m_reserved) ||
             !may_run_on(worker, wanted) ||
             std::find(kept.begin(), kept.end(), &worker) != kept.end()) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -79,6 +79,7 @@
     slot.m_progress_at = now;
     const found_task found = find_task(state, reported.m_task);
     bool free = false;
+    slot.m_unknown_size = found.m_task == nullptr;
     if (found.m_task != nullptr) {
         const submission_step& step = found.m_record->m_what.m_steps[reported.m_task.m_step];
         slot.m_reserved = step.m_demand;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -104,6 +104,7 @@
     resources m_reserved;
     run_phase m_phase = run_phase::ordered;
     bool m_detached = false;      ///< No task waits for its end.
+    bool m_unknown_size = false;  ///< Its submission is over, so that nobody knows what it takes.
     bool m_lasting = false;
     bool m_order_pending = false; ///< An order about it is on its way.
     time_point m_ordered_at{};
