Move machines to the pool whose queue has its turn

Ruled out: order of work within a pool (its cores were in use throughout the turn); refusing less (only shifts refusals to lateness). Change: pools' owners tell what the work at hand and the arriving work need; the holder of the machines' duty moves idle machines, first from the standby pool.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds owner_patience{450};
 
 /// Readings of the workers' list follow each other at this distance.
-constexpr milliseconds list_interval{600};
+constexpr milliseconds list_interval{300};
 constexpr milliseconds list_time{1200};
 
 /// Peers are greeted at this distance, at most so many at a time.
@@ -148,18 +148,19 @@
 void dispatcher::gain(const service_id& shard, revision token)
 {
     if (shard == machines_shard()) {
-        upkeep_surroundings around;
+        duty_surroundings around;
         around.m_context = &m_context;
         around.m_client = &m_client;
         around.m_store = &m_store;
         around.m_settings = &m_settings;
         around.m_operator = &m_operator;
         around.m_proven_until = [this] { return m_registry.proven_until(); };
+        around.m_config = [this] { return m_config ? &*m_config : nullptr; };
         around.m_cordon = [this](cordon_request request) {
             return ask_cordon(std::move(request));
         };
-        m_upkeep = std::make_shared<upkeep_duty>(std::move(around), token);
-        m_upkeep->start();
+        m_machines = std::make_shared<machine_duty>(std::move(around), token);
+        m_machines->start();
         return;
     }
     owner_surroundings around;
@@ -178,9 +179,9 @@
 void dispatcher::lose(const service_id& shard)
 {
     if (shard == machines_shard()) {
-        if (m_upkeep) {
-            m_upkeep->lose();
-            m_upkeep.reset();
+        if (m_machines) {
+            m_machines->lose();
+            m_machines.reset();
         }
         return;
     }
@@ -628,8 +629,8 @@
     const time_point begun = read_boot_clock();
     log_info("dispatch: stopping shards=" + std::to_string(m_owners.size()));
     co_await m_registry.leave();
-    if (m_upkeep) {
-        const std::shared_ptr<upkeep_duty> duty = m_upkeep;
+    if (m_machines) {
+        const std::shared_ptr<machine_duty> duty = m_machines;
         co_await duty->release();
     }
     for (const auto& [shard, owner] : std::map(m_owners)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,7 +9,7 @@
 #include "dispatch/peer_table.h"
 #include "dispatch/registry.h"
 #include "dispatch/shard_owner.h"
-#include "dispatch/upkeep_duty.h"
+#include "dispatch/machine_duty.h"
 
 namespace guavabay {
 
@@ -68,7 +68,7 @@
     caller_server m_readiness;
     std::optional<installation> m_config;
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners;
-    std::shared_ptr<upkeep_duty> m_upkeep;
+    std::shared_ptr<machine_duty> m_machines;
     bool m_stopping = false;
 };
 
--- a/src/dispatch/upkeep_duty.cpp
+++ b/src/dispatch/machine_duty.cpp
@@ -1,4 +1,4 @@
-#include "dispatch/upkeep_duty.h"
+#include "dispatch/machine_duty.h"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -15,9 +15,8 @@
 
 namespace {
 
-/// How often the duty looks at waves and machines, with and without a wave.
-constexpr milliseconds busy_interval{200};
-constexpr milliseconds idle_interval{400};
+/// Pause between two rounds over machines, waves and pools.
+constexpr milliseconds round_interval{150};
 
 constexpr milliseconds call_time{1500};
 constexpr milliseconds order_time{1200};
@@ -71,24 +70,24 @@
     return service_id("~machines");
 }
 
-upkeep_duty::upkeep_duty(upkeep_surroundings surroundings, revision token)
+machine_duty::machine_duty(duty_surroundings surroundings, revision token)
     : m_around(std::move(surroundings)), m_token(token.get())
 {
 }
 
-void upkeep_duty::start()
+void machine_duty::start()
 {
     asio::co_spawn(
         *m_around.m_context, [self = shared_from_this()]() { return self->run(); },
         asio::detached);
 }
 
-bool upkeep_duty::is_proven() const
+bool machine_duty::is_proven() const
 {
     return read_boot_clock() < m_around.m_proven_until();
 }
 
-asio::awaitable<bool> upkeep_duty::read_progress()
+asio::awaitable<bool> machine_duty::read_progress()
 {
     for (const std::string& prefix : {std::string(progress_prefix), platform::wave_status_prefix()}) {
         const http_answer answer = co_await m_around.m_store->call(
@@ -113,7 +112,7 @@
     co_return true;
 }
 
-asio::awaitable<bool> upkeep_duty::read_machines()
+asio::awaitable<bool> machine_duty::read_machines()
 {
     std::vector<machine_listing> listings;
     std::string page_token;
@@ -134,7 +133,7 @@
     co_return true;
 }
 
-void upkeep_duty::take_waves()
+void machine_duty::take_waves()
 {
     for (const auto& [key, item] : m_around.m_operator->items()) {
         if (!key.starts_with(platform::wave_prefix)) {
@@ -142,7 +141,7 @@
         }
         const std::optional<upkeep_wave> wave = platform::decode_wave(item.m_value);
         if (!wave) {
-            log_warning("upkeep: " + key + ": " + last_reason());
+            log_warning("machines: " + key + ": " + last_reason());
             continue;
         }
         if (m_waves.contains(wave->m_number) || m_succeeded.contains(wave->m_number)) {
@@ -159,7 +158,7 @@
                 added.m_since = progress.m_seen_at;
             }
         }
-        log_info("upkeep: wave=" + std::to_string(wave->m_number) +
+        log_info("machines: wave=" + std::to_string(wave->m_number) +
                  " machines=" + std::to_string(wave->m_machines.size()) +
                  " most_at_once=" + std::to_string(wave->m_most_at_once) +
                  " duration_ms=" + std::to_string(wave->m_duration.count()) +
@@ -168,7 +167,7 @@
     }
 }
 
-asio::awaitable<bool> upkeep_duty::write_progress(const wave_progress& wave)
+asio::awaitable<bool> machine_duty::write_progress(const wave_progress& wave)
 {
     store_commit commit;
     commit.m_guards.emplace_back(owner_key(machines_shard()), revision(m_token.get()));
@@ -184,7 +183,7 @@
     co_return result.m_outcome == commit_outcome::done;
 }
 
-asio::awaitable<void> upkeep_duty::order(wave_progress& wave, machine_id machine)
+asio::awaitable<void> machine_duty::order(wave_progress& wave, machine_id machine)
 {
     upkeep_machine& entry = wave.m_machines[machine];
     const time_point before = read_boot_clock();
@@ -201,7 +200,7 @@
     const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
     const time_point now = read_boot_clock();
     entry.m_next_order = now + order_pause;
-    log_info("upkeep: ordered machine=" + machine.str() +
+    log_info("machines: ordered machine=" + machine.str() +
              " wave=" + std::to_string(wave.m_wave.m_number) +
              " outcome=" + std::to_string(static_cast<int>(outcome)));
     switch (outcome) {
@@ -211,7 +210,7 @@
         entry.m_since = now;
         break;
     case platform::machine_outcome::refused_fence:
-        log_warning("upkeep: another holder was seen, giving up");
+        log_warning("machines: another holder was seen, giving up");
         m_over = true;
         break;
     case platform::machine_outcome::refused_wave:
@@ -228,110 +227,188 @@
     }
 }
 
-asio::awaitable<void> upkeep_duty::advance(wave_progress& wave)
+asio::awaitable<void> machine_duty::move(machine_id machine)
 {
-    const milliseconds upkeep_time = m_around.m_settings->m_upkeep_time;
-    update_wave(wave, m_listings, upkeep_time, read_boot_clock());
-    const auto drained = machines_to_drain(wave, m_listings, read_boot_clock());
-    const bool urgent = is_urgent(wave, upkeep_time, read_boot_clock());
-    std::set<machine_id> clear;
-    for (const auto& [pool, machines] : drained) {
-        if (machines.empty() && !m_cordoned_pools.contains(pool)) {
-            continue;
+    const auto found = m_moves.m_moves.find(machine);
+    if (found == m_moves.m_moves.end()) {
+        co_return;
+    }
+    found->second.m_phase = move_phase::ordered;
+    found->second.m_next_order = read_boot_clock() + order_time + order_pause;
+    const service_id to = found->second.m_to;
+    const http_answer answer = co_await m_around.m_client->call(
+        *m_around.m_settings->m_machines_address,
+        platform::encode_move(machine, to, m_around.m_settings->m_host, m_token), order_time);
+    const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
+    log_info("machines: moved machine=" + machine.str() + " to=" + to.str() +
+             " outcome=" + std::to_string(static_cast<int>(outcome)));
+    const auto entry = m_moves.m_moves.find(machine);
+    if (entry == m_moves.m_moves.end()) {
+        co_return;
+    }
+    switch (outcome) {
+    case platform::machine_outcome::accepted:
+        entry->second.m_phase = move_phase::arriving;
+        entry->second.m_since = read_boot_clock();
+        break;
+    case platform::machine_outcome::refused_fence:
+        log_warning("machines: another holder was seen, giving up");
+        m_over = true;
+        break;
+    case platform::machine_outcome::unknown:
+        entry->second.m_next_order = read_boot_clock() + order_pause;
+        break;
+    default:
+        m_moves.m_moves.erase(entry);
+        break;
+    }
+}
+
+asio::awaitable<void> machine_duty::ask_pools()
+{
+    // Every pool is asked for its load with the machines that it has to keep free.
+    std::map<service_id, cordon_request> requests;
+    for (const machine_listing& listing : m_listings) {
+        requests[listing.m_pool].m_service = listing.m_pool;
+    }
+    for (auto& [number, wave] : m_waves) {
+        const milliseconds upkeep_time = m_around.m_settings->m_upkeep_time;
+        update_wave(wave, m_listings, upkeep_time, read_boot_clock());
+        const bool urgent = is_urgent(wave, upkeep_time, read_boot_clock());
+        for (const auto& [pool, machines] :
+             machines_to_drain(wave, m_listings, read_boot_clock())) {
+            cordon_request& request = requests[pool];
+            request.m_service = pool;
+            request.m_urgent = request.m_urgent || urgent;
+            for (const machine_id& machine : machines) {
+                request.m_machines.push_back(machine.str());
+            }
         }
-        cordon_request request;
-        request.m_service = pool;
-        request.m_urgent = urgent;
-        for (const machine_id& machine : machines) {
-            request.m_machines.push_back(machine.str());
+    }
+    for (const auto& [machine, move] : m_moves.m_moves) {
+        if (move.m_phase != move_phase::arriving) {
+            requests[move.m_from].m_service = move.m_from;
+            requests[move.m_from].m_machines.push_back(machine.str());
         }
-        const bool none = machines.empty();
+    }
+    m_clear.clear();
+    m_loads.clear();
+    for (auto& [pool, request] : requests) {
         const std::optional<cordon_reply> reply = co_await m_around.m_cordon(std::move(request));
         if (!reply || !reply->m_owner) {
             continue;
         }
-        if (none) {
-            m_cordoned_pools.erase(pool);
-            continue;
-        }
-        m_cordoned_pools.insert(pool);
         for (const std::string& name : reply->m_clear) {
-            clear.emplace(name);
+            m_clear.emplace(name);
+        }
+        pool_load& load = m_loads[pool];
+        load.m_needed = reply->m_needed;
+        for (const machine_report& machine : reply->m_machines) {
+            load.m_machines[machine_id(machine.m_machine)] = {machine.m_runs, machine.m_lasting};
         }
     }
-    const std::vector<machine_id> orders = machines_to_order(wave, clear, read_boot_clock());
+}
+
+asio::awaitable<void> machine_duty::advance_wave(wave_progress& wave)
+{
+    const std::vector<machine_id> orders = machines_to_order(wave, m_clear, read_boot_clock());
     for (const machine_id& machine : orders) {
         if (m_over || !is_proven()) {
             co_return;
         }
         co_await order(wave, machine);
     }
-    const std::set<machine_id>& written = m_begun[wave.m_wave.m_number];
+    const std::int64_t number = wave.m_wave.m_number;
     const auto begun = static_cast<std::size_t>(
         std::count_if(wave.m_machines.begin(), wave.m_machines.end(),
                       [](const auto& entry) { return entry.second.m_begun; }));
-    const bool complete = is_complete(wave);
-    if (begun != written.size() || complete || !wave.m_status_written) {
-        wave.m_succeeded = complete;
-        if (co_await write_progress(wave)) {
-            wave.m_status_written = true;
-            std::set<machine_id>& names = m_begun[wave.m_wave.m_number];
-            for (const auto& [id, machine] : wave.m_machines) {
-                if (machine.m_begun) {
-                    names.insert(id);
-                }
+    const bool complete = is_complete(wave) && !m_succeeded.contains(number);
+    if (begun == m_begun[number].size() && !complete && wave.m_status_written) {
+        co_return;
+    }
+    wave.m_succeeded = wave.m_succeeded || complete;
+    if (!co_await write_progress(wave)) {
+        co_return;
+    }
+    wave.m_status_written = true;
+    for (const auto& [id, machine] : wave.m_machines) {
+        if (machine.m_begun) {
+            m_begun[number].insert(id);
+        }
+    }
+    if (complete) {
+        m_succeeded.insert(number);
+        log_info("machines: wave succeeded wave=" + std::to_string(number));
+    }
+}
+
+asio::awaitable<void> machine_duty::advance_moves()
+{
+    std::set<service_id> standby;
+    if (const installation* config = m_around.m_config()) {
+        for (const pool_terms& pool : config->m_pools) {
+            if (pool.m_standby) {
+                standby.insert(pool.m_service);
             }
-            if (complete) {
-                m_succeeded.insert(wave.m_wave.m_number);
-                log_info("upkeep: wave succeeded wave=" + std::to_string(wave.m_wave.m_number));
+        }
+    }
+    std::set<machine_id> in_wave;
+    for (const auto& [number, wave] : m_waves) {
+        for (const auto& [machine, entry] : wave.m_machines) {
+            if (entry.m_phase != upkeep_phase::waiting && entry.m_phase != upkeep_phase::done) {
+                in_wave.insert(machine);
             }
         }
     }
+    const time_point now = read_boot_clock();
+    update_moves(m_moves, m_listings, now);
+    choose_moves(m_moves, m_listings, m_loads, standby, in_wave, now);
+    std::vector<machine_id> orders;
+    for (const auto& [machine, pending] : m_moves.m_moves) {
+        const bool clear = m_clear.contains(machine) || standby.contains(pending.m_from);
+        if ((pending.m_phase == move_phase::draining && clear) ||
+            (pending.m_phase == move_phase::ordered && pending.m_next_order <= now)) {
+            orders.push_back(machine);
+        }
+    }
+    for (const machine_id& machine : orders) {
+        if (m_over || !is_proven()) {
+            co_return;
+        }
+        co_await move(machine);
+    }
 }
 
-asio::awaitable<void> upkeep_duty::run()
+asio::awaitable<void> machine_duty::run()
 {
     asio::steady_timer timer(*m_around.m_context);
     while (!m_over) {
-        milliseconds pause = idle_interval;
-        if (is_proven() && m_around.m_settings->m_machines_address) {
-            if (!m_has_read) {
-                co_await read_progress();
-            }
-            if (m_has_read) {
-                take_waves();
+        if (is_proven() && m_around.m_settings->m_machines_address &&
+            (m_has_read || co_await read_progress()) && co_await read_machines()) {
+            take_waves();
+            co_await ask_pools();
+            for (auto it = m_waves.begin(); it != m_waves.end() && !m_over;) {
+                co_await advance_wave(it->second);
+                const bool over = m_succeeded.contains(it->first) &&
+                                  std::all_of(it->second.m_machines.begin(),
+                                              it->second.m_machines.end(),
+                                              [](const auto& entry) {
+                                                  return entry.second.m_phase ==
+                                                         upkeep_phase::done;
+                                              });
+                it = over ? m_waves.erase(it) : std::next(it);
             }
-            if (!m_waves.empty() && co_await read_machines()) {
-                pause = busy_interval;
-                for (auto it = m_waves.begin(); it != m_waves.end() && !m_over;) {
-                    co_await advance(it->second);
-                    const bool over = m_succeeded.contains(it->first) &&
-                                      std::all_of(it->second.m_machines.begin(),
-                                                  it->second.m_machines.end(),
-                                                  [](const auto& entry) {
-                                                      return entry.second.m_phase ==
-                                                             upkeep_phase::done;
-                                                  });
-                    it = over ? m_waves.erase(it) : std::next(it);
-                }
-            }
-            for (const service_id& pool : std::set<service_id>(
-                     m_waves.empty() ? m_cordoned_pools : std::set<service_id>())) {
-                cordon_request nothing;
-                nothing.m_service = pool;
-                const auto reply = co_await m_around.m_cordon(std::move(nothing));
-                if (reply && reply->m_owner) {
-                    m_cordoned_pools.erase(pool);
-                }
+            if (!m_over) {
+                co_await advance_moves();
             }
         }
-        timer.expires_after(pause);
+        timer.expires_after(round_interval);
         error_code ignored;
         co_await timer.async_wait(to_coroutine(ignored));
     }
 }
 
-asio::awaitable<void> upkeep_duty::release()
+asio::awaitable<void> machine_duty::release()
 {
     m_over = true;
     store_commit commit;
--- a/src/dispatch/upkeep_duty.h
+++ b/src/dispatch/machine_duty.h
@@ -4,7 +4,9 @@
 #include <memory>
 
 #include "dispatch/host_settings.h"
+#include "dispatch/installation.h"
 #include "dispatch/prefix_watch.h"
+#include "fleet/pool_moves.h"
 #include "fleet/upkeep_plan.h"
 #include "peer/host_message.h"
 
@@ -14,22 +16,24 @@
 service_id machines_shard();
 
 /// What the duty needs from its host.
-struct upkeep_surroundings {
+struct duty_surroundings {
     asio::io_context* m_context = nullptr;
     http_client* m_client = nullptr;
     store_link* m_store = nullptr;
     const host_settings* m_settings = nullptr;
     const prefix_watch* m_operator = nullptr; ///< The operator's records.
     std::function<time_point()> m_proven_until;
+    std::function<const installation*()> m_config; ///< Null before there is one.
     /// Asks a pool's owner to keep machines free; empty when it cannot be reached.
     std::function<asio::awaitable<std::optional<cordon_reply>>(cordon_request)> m_cordon;
 };
 
-/// Carries out the operator's waves of upkeep under one token. One host has the duty at a time.
-class upkeep_duty : public std::enable_shared_from_this<upkeep_duty> {
+/// Carries out the operator's waves of upkeep and moves machines between pools, under one token.
+/// One host has the duty at a time.
+class machine_duty : public std::enable_shared_from_this<machine_duty> {
 public:
     /// Makes a holder of the duty; nothing is sent before start.
-    upkeep_duty(upkeep_surroundings surroundings, revision token);
+    machine_duty(duty_surroundings surroundings, revision token);
 
     /// Begins to follow waves.
     void start();
@@ -44,13 +48,16 @@
     asio::awaitable<void> run();
     asio::awaitable<bool> read_progress();
     asio::awaitable<bool> read_machines();
-    asio::awaitable<void> advance(wave_progress& wave);
+    asio::awaitable<void> ask_pools();
+    asio::awaitable<void> advance_wave(wave_progress& wave);
+    asio::awaitable<void> advance_moves();
+    asio::awaitable<void> move(machine_id machine);
     asio::awaitable<void> order(wave_progress& wave, machine_id machine);
     asio::awaitable<bool> write_progress(const wave_progress& wave);
     [[nodiscard]] bool is_proven() const;
     void take_waves();
 
-    upkeep_surroundings m_around;
+    duty_surroundings m_around;
     fencing_token m_token;
     bool m_over = false;
     bool m_has_read = false;
@@ -58,7 +65,9 @@
     std::map<std::int64_t, std::set<machine_id>> m_begun; ///< As written by former holders.
     std::set<std::int64_t> m_succeeded;
     std::vector<machine_listing> m_listings;
-    std::set<service_id> m_cordoned_pools;
+    move_state m_moves;
+    std::set<machine_id> m_clear;            ///< Nothing runs on them, by their pools' owners.
+    std::map<service_id, pool_load> m_loads; ///< As the pools' owners told last.
 };
 
 } // namespace guavabay
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -464,8 +464,13 @@
         co_return reply;
     }
     const submission_id name = id;
+    const time_point begun = read_boot_clock();
     const bool stored = co_await wait_until_stored(name, caller_patience);
     reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
+    log_info("shard: submission accepted id=" + name.str() + " queue=" + queue.str() +
+             " open=" + std::to_string(m_shard.m_open.size()) +
+             " stored=" + (stored ? "yes" : "unknown") + " after_ms=" +
+             std::to_string(static_cast<int>(to_milliseconds(read_boot_clock() - begun))));
     wake();
     co_return reply;
 }
@@ -545,6 +550,17 @@
             reply.m_clear.push_back(machine.str());
         }
     }
+    reply.m_needed = machines_needed(m_shard, now);
+    for (const auto& [id, worker] : m_shard.m_workers) {
+        if (!worker->m_listed || worker->m_info.m_machine.empty()) {
+            continue;
+        }
+        const bool lasting =
+            std::any_of(worker->m_runs.begin(), worker->m_runs.end(),
+                        [](const auto& entry) { return entry.second.m_lasting; });
+        reply.m_machines.push_back({worker->m_info.m_machine.str(),
+                                    static_cast<std::uint32_t>(worker->m_runs.size()), lasting});
+    }
     wake();
     return reply;
 }
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -47,10 +47,16 @@
     archive(value.m_service, value.m_machines, value.m_urgent);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, machine_report& value)
+{
+    archive(value.m_machine, value.m_runs, value.m_lasting);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, cordon_reply& value)
 {
-    archive(value.m_owner, value.m_clear);
+    archive(value.m_owner, value.m_clear, value.m_needed, value.m_machines);
 }
 
 template <typename Archive>
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -61,10 +61,19 @@
     bool m_urgent = false; ///< Work that does not end soon is stopped.
 };
 
-/// Machines of a cordon on which nothing runs any more.
+/// A machine of a pool and what runs on it.
+struct machine_report {
+    std::string m_machine;
+    std::uint32_t m_runs = 0;
+    bool m_lasting = false;
+};
+
+/// Machines of a cordon on which nothing runs any more, and what the pool needs.
 struct cordon_reply {
     bool m_owner = false;
     std::vector<std::string> m_clear;
+    double m_needed = 0; ///< Machines.
+    std::vector<machine_report> m_machines;
 };
 
 /// A call to the platform's store that the receiver makes for the sender.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -70,14 +70,18 @@
     record->m_accepted_ms = unix_ms(wall);
     record->m_arrived = now;
     const auto refused = state.m_refused.find(id);
+    const bool lasting = is_lasting(record->m_what);
     if (refused != state.m_refused.end()) {
         record->m_arrived = refused->second;
     }
+    else if (!lasting) {
+        note_arrival(state, record->m_what, now);
+    }
     set_objective(state, *record);
 
     // Work that cannot end within the time in which it still earns anything is refused at once.
     const std::int64_t cores = usable_cores(state, now);
-    if (cores > 0 && !is_lasting(record->m_what) && record->m_what.m_repeat_count == 0) {
+    if (cores > 0 && !lasting && record->m_what.m_repeat_count == 0) {
         double backlog = 0;
         for (const submission_record* open : state.m_open) {
             if (now < open->m_late_limit) {
@@ -100,7 +104,7 @@
     if (refused != state.m_refused.end()) {
         state.m_refused.erase(refused);
     }
-    record->m_work_left = is_lasting(record->m_what) ? 0 : total_work(record->m_what);
+    record->m_work_left = lasting ? 0 : total_work(record->m_what);
     record->m_occurrences.resize(occurrence_count(record->m_what));
     if (record->m_what.m_repeat_count == 0) {
         create_occurrence(*record, 0);
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -191,6 +191,12 @@
     std::uint32_t m_samples = 0;
 };
 
+/// Work that arrives, averaged with a fading weight.
+struct arrival_rate {
+    double m_core_ms = 0; ///< Core-milliseconds, faded up to the moment.
+    time_point m_at{};
+};
+
 /// How a submission was answered.
 enum class admission : std::uint8_t { accepted, stored_before, refused };
 
@@ -225,6 +231,7 @@
     bool m_taken_stored = false;             ///< The log says that this owner starts tasks.
     std::set<worker_id> m_awaited;           ///< Workers that a former owner may still hold.
     time_point m_awaited_until{};            ///< After it their leases have ended.
+    arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
     bool m_evacuate = false;                 ///< Cordoned machines are needed soon.
@@ -294,6 +301,9 @@
 /// True when nothing runs or can start on the machine's worker.
 bool is_clear(const shard& state, const machine_id& machine);
 
+/// Machines that the work at hand and the work that arrives need.
+double machines_needed(const shard& state, time_point now);
+
 /// Lines for the successor when the owner gives the shard up in order.
 log_released release_note(const shard& state);
 
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -70,6 +70,9 @@
 /// Sets the paces of filling tasks by the tails of the serving ones.
 void adjust_paces(shard& state, time_point now);
 
+/// Counts the work of a submission that arrives for the first time.
+void note_arrival(shard& state, const submission& what, time_point now);
+
 /// Decides in which order submissions get room.
 void rank_submissions(shard& state, time_point now, wall_time wall);
 
