Write which machines are about to be ordered before the orders go out

Ruled out: orders carried out late (each was answered at once). Change: intended orders are written with the progress of the wave first; a successor counts them, and machines that the list shows in upkeep, as away, and gives their orders again.

--- a/src/dispatch/machine_duty.cpp
+++ b/src/dispatch/machine_duty.cpp
@@ -37,37 +37,52 @@
     return std::string(progress_prefix) + std::to_string(wave);
 }
 
-std::string encode_begun(const wave_progress& wave)
+/// What is written of a wave: machines that have begun their upkeep, and machines whose orders were
+/// about to be sent.
+struct written_progress {
+    std::vector<std::string> m_begun;
+    std::vector<std::string> m_intended;
+};
+
+std::string encode_progress(const wave_progress& wave)
 {
-    std::vector<std::string> names;
+    written_progress written;
     for (const auto& [id, machine] : wave.m_machines) {
         if (machine.m_begun) {
-            names.push_back(id.str());
+            written.m_begun.push_back(id.str());
+        }
+        else if (machine.m_maybe_away || machine.m_phase == upkeep_phase::ordered) {
+            written.m_intended.push_back(id.str());
         }
     }
     std::string bytes;
     bounded_output_archive archive(bytes);
-    archive(names);
+    archive(written.m_begun, written.m_intended);
     return bytes;
 }
 
-std::optional<std::set<machine_id>> decode_begun(std::string_view bytes)
+std::optional<written_progress> decode_progress(std::string_view bytes)
 {
     try {
         bounded_input_archive archive(bytes);
-        std::vector<std::string> names;
-        archive(names);
-        std::set<machine_id> begun;
-        for (std::string& name : names) {
-            begun.emplace(std::move(name));
-        }
-        return begun;
+        written_progress written;
+        archive(written.m_begun, written.m_intended);
+        return written;
     }
     catch (const std::exception& error) {
         return fail(std::string("malformed progress of a wave: ") + error.what());
     }
 }
 
+std::set<machine_id> to_ids(const std::vector<std::string>& names)
+{
+    std::set<machine_id> ids;
+    for (const std::string& name : names) {
+        ids.emplace(name);
+    }
+    return ids;
+}
+
 } // namespace
 
 service_id machines_shard()
@@ -104,8 +119,12 @@
         for (const store_item& item : page.m_items) {
             const std::int64_t number = std::atoll(item.m_key.substr(prefix.size()).c_str());
             if (prefix == progress_prefix) {
-                if (auto begun = decode_begun(item.m_value)) {
-                    m_begun[number] = std::move(*begun);
+                if (const auto written = decode_progress(item.m_value)) {
+                    m_begun[number] = to_ids(written->m_begun);
+                    m_intended[number] = to_ids(written->m_intended);
+                }
+                else {
+                    log_error("machines: " + item.m_key + ": " + last_reason());
                 }
             }
             else if (platform::decode_wave_succeeded(item.m_value)) {
@@ -162,6 +181,7 @@
                 added.m_phase = upkeep_phase::away;
                 added.m_since = progress.m_seen_at;
             }
+            added.m_maybe_away = m_intended[wave->m_number].contains(machine);
         }
         log_info("machines: wave=" + std::to_string(wave->m_number) +
                  " machines=" + std::to_string(wave->m_machines.size()) +
@@ -176,7 +196,8 @@
 {
     store_commit commit;
     commit.m_guards.emplace_back(owner_key(machines_shard()), revision(m_token.get()));
-    commit.m_puts.push_back({progress_key(wave.m_wave.m_number), encode_begun(wave), lease_id()});
+    commit.m_puts.push_back(
+        {progress_key(wave.m_wave.m_number), encode_progress(wave), lease_id()});
     commit.m_puts.push_back({platform::wave_status_key(wave.m_wave.m_number),
                              platform::encode_wave_status(wave.m_succeeded), lease_id()});
     const http_answer answer =
@@ -206,6 +227,7 @@
     switch (outcome) {
     case platform::machine_outcome::accepted:
         entry.m_begun = true;
+        entry.m_maybe_away = false;
         entry.m_phase = upkeep_phase::away;
         entry.m_since = now;
         break;
@@ -309,10 +331,10 @@
 
 asio::awaitable<void> machine_duty::advance_wave(wave_progress& wave)
 {
-    const std::vector<machine_id> orders = machines_to_order(wave, m_clear, read_boot_clock());
     const std::int64_t number = wave.m_wave.m_number;
-    for (const machine_id& machine : orders) {
-        if (m_over || !is_proven() || !take_order_allowance()) {
+    std::vector<machine_id> orders;
+    for (const machine_id& machine : machines_to_order(wave, m_clear, read_boot_clock())) {
+        if (!take_order_allowance()) {
             break;
         }
         upkeep_machine& entry = wave.m_machines[machine];
@@ -321,20 +343,22 @@
             entry.m_since = read_boot_clock();
         }
         entry.m_next_order = read_boot_clock() + order_time + order_pause;
-        asio::co_spawn(
-            *m_around.m_context,
-            [self = shared_from_this(), number, machine]() { return self->order(number, machine); },
-            asio::detached);
+        orders.push_back(machine);
     }
     const auto begun = static_cast<std::size_t>(
         std::count_if(wave.m_machines.begin(), wave.m_machines.end(),
                       [](const auto& entry) { return entry.second.m_begun; }));
     const bool complete = is_complete(wave) && !m_succeeded.contains(number);
-    if (begun == m_begun[number].size() && !complete && wave.m_status_written) {
+    if (orders.empty() && begun == m_begun[number].size() && !complete && wave.m_status_written) {
         co_return;
     }
     wave.m_succeeded = wave.m_succeeded || complete;
+    // A later holder has to know of an order before it can be carried out.
     if (!co_await write_progress(wave)) {
+        for (const machine_id& machine : orders) {
+            wave.m_machines[machine].m_phase = upkeep_phase::draining;
+            wave.m_machines[machine].m_next_order = {};
+        }
         co_return;
     }
     wave.m_status_written = true;
@@ -347,6 +371,15 @@
         m_succeeded.insert(number);
         log_info("machines: wave succeeded wave=" + std::to_string(number));
     }
+    for (const machine_id& machine : orders) {
+        if (m_over || !is_proven()) {
+            co_return;
+        }
+        asio::co_spawn(
+            *m_around.m_context,
+            [self = shared_from_this(), number, machine]() { return self->order(number, machine); },
+            asio::detached);
+    }
 }
 
 void machine_duty::advance_moves()
@@ -387,8 +420,7 @@
         pending.m_next_order = now + order_time + order_pause;
         asio::co_spawn(
             *m_around.m_context,
-            [self = shared_from_this(), machine]() { return self->move(machine); },
-            asio::detached);
+            [self = shared_from_this(), machine]() { return self->move(machine); }, asio::detached);
     }
 }
 
--- a/src/dispatch/machine_duty.h
+++ b/src/dispatch/machine_duty.h
@@ -63,7 +63,8 @@
     bool m_over = false;
     bool m_has_read = false;
     std::map<std::int64_t, wave_progress> m_waves;
-    std::map<std::int64_t, std::set<machine_id>> m_begun; ///< As written by former holders.
+    std::map<std::int64_t, std::set<machine_id>> m_begun;    ///< As written by former holders.
+    std::map<std::int64_t, std::set<machine_id>> m_intended; ///< Orders of former holders.
     std::set<std::int64_t> m_succeeded;
     std::vector<machine_listing> m_listings;
     double m_allowance = 0; ///< Orders that may be sent at once.
--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -22,7 +22,7 @@
 {
     return static_cast<std::uint32_t>(
         std::count_if(wave.m_machines.begin(), wave.m_machines.end(), [](const auto& entry) {
-            return entry.second.m_phase == upkeep_phase::ordered ||
+            return entry.second.m_maybe_away || entry.second.m_phase == upkeep_phase::ordered ||
                    entry.second.m_phase == upkeep_phase::away;
         }));
 }
@@ -69,15 +69,16 @@
         }
         machine.m_missing_since = {};
         const machine_listing& listing = *found->second;
-        const bool under_order =
-            machine.m_phase == upkeep_phase::ordered || machine.m_phase == upkeep_phase::away;
-        if (under_order && listing.m_state == machine_state::upkeep) {
-            machine.m_begun = true;
+        if (listing.m_state == machine_state::upkeep) {
+            // One that was not ordered here was ordered by a former holder; its order is given
+            // again later, which the platform answers as done.
+            machine.m_begun = machine.m_begun || machine.m_phase == upkeep_phase::ordered;
             set_phase(machine, upkeep_phase::away, now);
         }
-        if (machine.m_phase == upkeep_phase::away && listing.m_state == machine_state::up &&
-            now - machine.m_since >= upkeep_time) {
-            set_phase(machine, upkeep_phase::done, now);
+        else if (machine.m_phase == upkeep_phase::away && listing.m_state == machine_state::up &&
+                 now - machine.m_since >= upkeep_time) {
+            machine.m_maybe_away = machine.m_maybe_away && !machine.m_begun;
+            set_phase(machine, machine.m_begun ? upkeep_phase::done : upkeep_phase::waiting, now);
         }
     }
 }
@@ -100,6 +101,15 @@
     }
     const std::uint32_t most = wave.m_wave.m_most_at_once;
     const std::size_t limit = most + std::max<std::uint32_t>(1, most / ahead_divisor);
+    for (const machine_listing& listing : listings) {
+        const auto found = wave.m_machines.find(listing.m_machine);
+        if (found != wave.m_machines.end() && found->second.m_maybe_away &&
+            found->second.m_phase == upkeep_phase::waiting) {
+            set_phase(found->second, upkeep_phase::draining, now);
+            drained[listing.m_pool].push_back(listing.m_machine);
+            ++under_way;
+        }
+    }
     while (under_way < limit) {
         // The next machine comes from the pool of which the smallest share is drained.
         const machine_listing* best = nullptr;
@@ -136,10 +146,11 @@
         const bool again = machine.m_phase == upkeep_phase::ordered && !machine.m_begun &&
                            machine.m_next_order <= now;
         const bool fresh = machine.m_phase == upkeep_phase::draining && clear.contains(id) &&
-                           machine.m_next_order <= now && away < wave.m_wave.m_most_at_once;
+                           machine.m_next_order <= now &&
+                           (machine.m_maybe_away || away < wave.m_wave.m_most_at_once);
         if (again || fresh) {
             orders.push_back(id);
-            away += fresh ? 1 : 0;
+            away += fresh && !machine.m_maybe_away ? 1 : 0;
         }
     }
     return orders;
--- a/src/fleet/upkeep_plan.h
+++ b/src/fleet/upkeep_plan.h
@@ -23,6 +23,7 @@
     upkeep_phase m_phase = upkeep_phase::waiting;
     time_point m_since{};
     bool m_begun = false;         ///< The platform accepted the order.
+    bool m_maybe_away = false;    ///< A former holder may have ordered it.
     time_point m_next_order{};    ///< When the order is sent again.
     time_point m_missing_since{}; ///< Since when the list does not show it.
     std::uint32_t m_refusals = 0;
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -98,6 +98,29 @@
     CHECK(again == first);
 }
 
+// Before: a new holder counted only its own orders, and sent one machine too many down.
+TEST_CASE("machines that a former holder may have ordered count as away", "[upkeep]")
+{
+    wave_world world(6, 2);
+    world.m_wave.m_machines[machine_id("m0")].m_maybe_away = true;
+    world.m_listings[1].m_state = machine_state::upkeep;
+    update_wave(world.m_wave, world.m_listings, upkeep_time, world.m_now);
+    std::set<machine_id> clear;
+    for (const machine_listing& listing : world.m_listings) {
+        clear.insert(listing.m_machine);
+    }
+    machines_to_drain(world.m_wave, world.m_listings, world.m_now);
+    // The order that may have been given is given again; no other fits beside the one that is down.
+    CHECK(machines_to_order(world.m_wave, clear, world.m_now) ==
+          std::vector<machine_id>{machine_id("m0")});
+    CHECK_FALSE(is_complete(world.m_wave));
+    // A machine that was down without an order of this holder is ordered again when it is back.
+    world.m_listings[1].m_state = machine_state::up;
+    world.m_now += milliseconds(2500);
+    update_wave(world.m_wave, world.m_listings, upkeep_time, world.m_now);
+    CHECK(world.m_wave.m_machines[machine_id("m1")].m_phase == upkeep_phase::waiting);
+}
+
 TEST_CASE("machines that former holders sent to upkeep are not sent again", "[upkeep]")
 {
     wave_world world(2, 2);
