Turn callers away at once when the store is away

Ruled out: relaying (no host was served). Change: after 350 ms submissions whose write was refused each time, or not sent, are taken back and their callers told to return; a write whose answer was lost is still waited for.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -21,7 +21,10 @@
 constexpr milliseconds write_interval{25};
 
 /// A write that is not settled for this long makes the owner refuse new submissions.
-constexpr milliseconds store_patience{900};
+constexpr milliseconds store_patience{350};
+
+/// After its callers were turned away, the store is tried again with a new submission after this.
+constexpr milliseconds store_retry{600};
 
 /// How long a worker's answer to a hold waits for an end: with runs on it, and without.
 constexpr milliseconds hold_wait_busy{300};
@@ -317,7 +320,31 @@
     }
 }
 
-asio::awaitable<bool> shard_owner::write_batch(const log_batch& batch)
+void shard_owner::withdraw_from(std::vector<log_entry>& entries)
+{
+    std::erase_if(entries, [this](const log_entry& entry) {
+        const auto* accepted = std::get_if<log_accepted>(&entry);
+        if (accepted == nullptr) {
+            return false;
+        }
+        const auto record = m_shard.m_submissions.find(accepted->m_id);
+        // A cancellation that follows has to find its submission.
+        if (record == m_shard.m_submissions.end() || record->second->m_cancel_requested) {
+            return false;
+        }
+        log_info("shard: submission withdrawn id=" + accepted->m_id.str() +
+                 " reason=store away service=" + m_shard.m_service.str());
+        const auto [first, last] = m_waiters.equal_range(accepted->m_id);
+        for (auto it = first; it != last; ++it) {
+            it->second->m_withdrawn = true;
+            it->second->m_timer->cancel();
+        }
+        withdraw(m_shard, accepted->m_id);
+        return true;
+    });
+}
+
+asio::awaitable<bool> shard_owner::write_batch(log_batch& batch)
 {
     char number[24];
     std::snprintf(number, sizeof number, "%012llu", static_cast<unsigned long long>(m_next_log));
@@ -326,6 +353,7 @@
     commit.m_guards.emplace_back(owner_key(m_shard.m_service), revision(m_shard.m_token.get()));
     commit.m_guards.emplace_back(key, revision());
     commit.m_puts.push_back({key, encode_log(batch.m_entries), lease_id()});
+    bool surely_unwritten = true;
     const time_point begun = read_boot_clock();
     retry_pause pause;
     asio::steady_timer timer(*m_around.m_context);
@@ -358,9 +386,23 @@
             co_return false;
         }
         tried_before = true;
-        if (!m_store_fails && read_boot_clock() - begun > store_patience) {
+        surely_unwritten = surely_unwritten && result.m_outcome == commit_outcome::refused;
+        if (read_boot_clock() - begun > store_patience) {
+            if (!m_store_fails) {
+                log_warning("shard: a write is not settled service=" + m_shard.m_service.str());
+            }
             m_store_fails = true;
-            log_warning("shard: a write is not settled service=" + m_shard.m_service.str());
+            // Callers whose submissions cannot be made durable are told so at once, as far as it
+            // is sure that they were not.
+            withdraw_from(m_shard.m_pending.m_entries);
+            if (surely_unwritten) {
+                withdraw_from(batch.m_entries);
+                if (batch.m_entries.empty()) {
+                    m_store_retry_at = read_boot_clock() + store_retry;
+                    co_return true;
+                }
+                commit.m_puts.front().m_value = encode_log(batch.m_entries);
+            }
         }
         timer.expires_after(pause.next());
         error_code ignored;
@@ -418,16 +460,20 @@
     m_followed.erase(worker);
 }
 
-asio::awaitable<bool> shard_owner::wait_until_stored(submission_id id, milliseconds timeout)
+asio::awaitable<shard_owner::wait_result> shard_owner::wait_until_stored(submission_id id,
+                                                                         milliseconds timeout)
 {
     asio::steady_timer timer(*m_around.m_context, timeout);
-    waiter waiting{&timer, false};
+    waiter waiting{&timer, false, false};
     const auto place = m_waiters.emplace(std::move(id), &waiting);
     m_log_wake.cancel();
     error_code ignored;
     co_await timer.async_wait(to_coroutine(ignored));
     m_waiters.erase(place);
-    co_return waiting.m_stored;
+    if (waiting.m_withdrawn) {
+        co_return wait_result::withdrawn;
+    }
+    co_return waiting.m_stored ? wait_result::stored : wait_result::unknown;
 }
 
 asio::awaitable<owner_reply> shard_owner::submit(queue_id queue, submission_id id, submission what)
@@ -438,6 +484,10 @@
         co_return reply;
     }
     const bool known = m_shard.m_submissions.contains(id);
+    if (m_store_fails && !m_writing && read_boot_clock() > m_store_retry_at) {
+        // Nothing is left to write that would show whether the store is back.
+        m_store_fails = false;
+    }
     if (m_store_fails && !known) {
         reply.m_answer = owner_answer::store_away;
         reply.m_retry_after_s = retry_after_store_s;
@@ -459,7 +509,13 @@
     }
     const submission_id name = id;
     const time_point begun = read_boot_clock();
-    const bool stored = co_await wait_until_stored(name, caller_patience);
+    const wait_result result_of_wait = co_await wait_until_stored(name, caller_patience);
+    if (result_of_wait == wait_result::withdrawn) {
+        reply.m_answer = owner_answer::store_away;
+        reply.m_retry_after_s = retry_after_store_s;
+        co_return reply;
+    }
+    const bool stored = result_of_wait == wait_result::stored;
     reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
     log_info("shard: submission accepted id=" + name.str() + " queue=" + queue.str() +
              " open=" + std::to_string(m_shard.m_open.size()) +
@@ -486,7 +542,8 @@
         co_return reply;
     }
     const submission_id name = id;
-    const bool stored = co_await wait_until_stored(name, caller_patience);
+    const bool stored =
+        co_await wait_until_stored(name, caller_patience) == wait_result::stored;
     reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
     wake();
     co_return reply;
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -71,8 +71,12 @@
     struct waiter {
         asio::steady_timer* m_timer = nullptr;
         bool m_stored = false;
+        bool m_withdrawn = false;
     };
 
+    /// How the wait of a caller ended.
+    enum class wait_result : std::uint8_t { stored, withdrawn, unknown };
+
     [[nodiscard]] bool is_proven() const;
     void follow_proof();
     void wake();
@@ -83,10 +87,11 @@
     asio::awaitable<void> run();
     asio::awaitable<void> tick();
     asio::awaitable<void> write_log();
-    asio::awaitable<bool> write_batch(const log_batch& batch);
+    asio::awaitable<bool> write_batch(log_batch& batch);
+    void withdraw_from(std::vector<log_entry>& entries);
     asio::awaitable<void> follow_worker(worker_id worker);
     asio::awaitable<void> carry_out(worker_order order);
-    asio::awaitable<bool> wait_until_stored(submission_id id, milliseconds timeout);
+    asio::awaitable<wait_result> wait_until_stored(submission_id id, milliseconds timeout);
 
     owner_surroundings m_around;
     shard m_shard;
@@ -97,6 +102,7 @@
     bool m_plan_pending = false;
     bool m_writing = false;
     bool m_store_fails = false;
+    time_point m_store_retry_at{};
     asio::steady_timer m_log_wake;
     asio::steady_timer m_tick;
     std::set<worker_id> m_followed;
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -117,6 +117,18 @@
     return {admission::accepted, seconds(0), {}};
 }
 
+void withdraw(shard& state, const submission_id& id)
+{
+    const auto found = state.m_submissions.find(id);
+    if (found == state.m_submissions.end() || found->second->m_accept_stored) {
+        return;
+    }
+    state.m_open.erase(found->second.get());
+    std::erase(state.m_ranked, found->second.get());
+    state.m_submissions.erase(found);
+    state.m_order_changed = true;
+}
+
 bool cancel(shard& state, const submission_id& id)
 {
     const auto found = state.m_submissions.find(id);
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -261,6 +261,9 @@
 admission_result admit(shard& state, const submission_id& id, const queue_id& queue,
                        submission what, time_point now, wall_time wall);
 
+/// Takes an accepted submission back whose line of the log was surely not written.
+void withdraw(shard& state, const submission_id& id);
+
 /// Cancels a submission by the pending batch; false when there is none of this name.
 bool cancel(shard& state, const submission_id& id);
 
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -87,6 +87,27 @@
     CHECK(pool.state("a") == submission_state::succeeded);
 }
 
+TEST_CASE("a submission that was surely not written is taken back", "[schedule]")
+{
+    virtual_pool pool(2, worker_size, 41);
+    pool.run_for(milliseconds(200));
+    pool.newest().m_has_store = false;
+    pool.submit("a", make_submission({2}, small_task, milliseconds(300)));
+    pool.run_for(milliseconds(300));
+    withdraw(pool.newest().m_shard, submission_id("a"));
+    pool.newest().m_shard.m_pending.m_entries.clear();
+    pool.newest().m_has_store = true;
+    pool.run_for(milliseconds(600));
+    CHECK(pool.m_starts.empty());
+    CHECK_FALSE(pool.state("a").has_value());
+    // One that is stored stays.
+    pool.submit("b", make_submission({2}, small_task, milliseconds(300)));
+    pool.run_for(milliseconds(100));
+    withdraw(pool.newest().m_shard, submission_id("b"));
+    pool.run_for(milliseconds(600));
+    CHECK(pool.state("b") == submission_state::succeeded);
+}
+
 TEST_CASE("a new owner goes on with what runs", "[schedule]")
 {
     virtual_pool pool(4, worker_size, 5);
