Serve metrics, check settings, document dispatch; give types names of their own

Cause: two packages defined task_state, worker_state and wave_progress differently, which the linker does not notice; the new ones are scheduled_task, held_worker and upkeep_progress. Callers' counts and answer times were not served. Ruled out: renaming the older types (their tests would have to change as well). Change: /metrics with Boost.Histogram by queue and method, shard gauges, reference of settings.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,6 +14,7 @@
 #include "app/status_command.h"
 #include "app/task_command.h"
 #include "app/version.h"
+#include "dispatch/host_settings.h"
 
 namespace {
 
@@ -50,6 +51,7 @@
     }
     if (command == "reference") {
         std::cout << guavabay::describe_settings(guavabay::declare_serve_settings()) << "\n"
+                  << guavabay::describe_settings(guavabay::declare_host_settings()) << "\n"
                   << guavabay::describe_settings(guavabay::declare_operator_settings()) << "\n"
                   << guavabay::describe_errors();
         return guavabay::exit_success;
--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -35,7 +35,7 @@
     response.version(version);
     response.result(answer.m_status);
     if (!answer.m_body.empty()) {
-        response.set(http::field::content_type, "application/json");
+        response.set(http::field::content_type, answer.m_content_type);
     }
     if (answer.m_retry_after_s > 0) {
         response.set(http::field::retry_after, std::to_string(answer.m_retry_after_s));
--- a/src/dispatch/caller_server.h
+++ b/src/dispatch/caller_server.h
@@ -25,6 +25,7 @@
     unsigned m_status = 503;
     std::string m_body;
     std::uint32_t m_retry_after_s = 0; ///< Zero advises no retry.
+    std::string m_content_type = "application/json";
 };
 
 /// Serves HTTP/1.1 to callers. Used on the thread of its context.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -100,10 +100,15 @@
                  {[this](const service_id& shard, revision token) { gain(shard, token); },
                   [this](const service_id& shard) { lose(shard); }}),
       m_callers(context, m_settings.m_caller_address,
-                [this](caller_request request) { return answer_caller(std::move(request)); }),
+                [this](caller_request request) { return measure_caller(std::move(request)); }),
       m_readiness(context, m_settings.m_readiness_address,
                   [this](caller_request request) { return answer_readiness(std::move(request)); })
 {
+    if (m_settings.m_metrics_address) {
+        m_metrics_server = std::make_unique<caller_server>(
+            context, *m_settings.m_metrics_address,
+            [this](caller_request request) { return answer_metrics(std::move(request)); });
+    }
     m_peer_table.m_own_address = m_self.m_peer_address;
     m_peer_table.m_seeds = m_settings.m_seeds;
     m_store.set_peers(m_peers,
@@ -487,6 +492,52 @@
     co_return make_answer(status_unknown);
 }
 
+asio::awaitable<caller_answer> dispatcher::measure_caller(caller_request request)
+{
+    const time_point begun = read_boot_clock();
+    const std::string method = request.m_method;
+    const queue_route* route =
+        m_config ? find_route(*m_config, request.m_host, request.m_path) : nullptr;
+    const queue_id queue = route != nullptr ? route->m_contract.m_queue : queue_id("none");
+    caller_answer answer = co_await answer_caller(std::move(request));
+    m_metrics.record(queue, method, answer.m_status, read_boot_clock() - begun);
+    co_return answer;
+}
+
+asio::awaitable<caller_answer> dispatcher::answer_metrics(caller_request request)
+{
+    if (request.m_path != "/metrics") {
+        co_return make_answer(status_not_found);
+    }
+    caller_answer answer = make_answer(status_ok, describe_metrics());
+    answer.m_content_type = "text/plain; version=0.0.4";
+    co_return answer;
+}
+
+std::string dispatcher::describe_metrics() const
+{
+    std::string text = m_metrics.to_text();
+    const auto line = [&text](const std::string& name, double value) {
+        text += name + " " + std::to_string(value) + "\n";
+    };
+    line("guavabay_store_calls_total", static_cast<double>(m_store.calls()));
+    line("guavabay_store_answers", m_store.answers() ? 1 : 0);
+    line("guavabay_connections_opened_total", static_cast<double>(m_client.opened()));
+    line("guavabay_caller_connections", static_cast<double>(m_callers.connections()));
+    const time_point now = read_boot_clock();
+    for (const auto& [service, owner] : m_owners) {
+        const shard& state = owner->state();
+        const std::string labels = "{service=\"" + service.str() + "\"}";
+        line("guavabay_open_submissions" + labels, static_cast<double>(state.m_open.size()));
+        line("guavabay_workers" + labels, static_cast<double>(state.m_workers.size()));
+        line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
+        line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
+        line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
+        line("guavabay_machines_needed" + labels, machines_needed(state, now));
+    }
+    return text;
+}
+
 asio::awaitable<caller_answer> dispatcher::answer_caller(caller_request request)
 {
     if (!m_config) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "dispatch/caller_server.h"
+#include "dispatch/host_metrics.h"
 #include "dispatch/host_settings.h"
 #include "dispatch/machine_duty.h"
 #include "dispatch/peer_table.h"
@@ -29,7 +30,10 @@
     void reload(const host_settings& settings);
 
 private:
+    asio::awaitable<caller_answer> measure_caller(caller_request request);
     asio::awaitable<caller_answer> answer_caller(caller_request request);
+    asio::awaitable<caller_answer> answer_metrics(caller_request request);
+    [[nodiscard]] std::string describe_metrics() const;
     asio::awaitable<caller_answer> answer_submit(const queue_route& route, submission_id id,
                                                  caller_request request);
     asio::awaitable<owner_reply> ask_owner(service_id service, host_message message,
@@ -65,6 +69,8 @@
     registry m_registry;
     caller_server m_callers;
     caller_server m_readiness;
+    std::unique_ptr<caller_server> m_metrics_server; ///< Null without an address for it.
+    host_metrics m_metrics;
     std::optional<installation> m_config;
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners;
     std::shared_ptr<machine_duty> m_machines;
--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -105,6 +105,8 @@
         address("store-address", true, "The platform's store."),
         address_list("machines-address", "The platform's interface for machines, if there is one."),
         address_list("advice-address", "The service that tells which workers may run a step."),
+        address_list("metrics-address",
+                     "Where metrics are read, under /metrics; none serves none."),
         address_list("seeds", "Peer addresses of some other entry hosts; they may be stale."),
         number("least-lease-ms", 1000, 100, 600000, "ms", "Shortest lease that the store grants."),
         text("grace-seconds", "6", "Time between the order to stop and the kill, 1 to 600 s."),
@@ -161,6 +163,7 @@
     settings.m_store_address = address_of(values, "store-address");
     settings.m_machines_address = optional_address(values, "machines-address");
     settings.m_advice_address = optional_address(values, "advice-address");
+    settings.m_metrics_address = optional_address(values, "metrics-address");
     settings.m_seeds = values.list("seeds");
     settings.m_least_lease = milliseconds(values.number("least-lease-ms"));
     settings.m_stop_time = from_seconds(*grace);
--- a/src/dispatch/host_settings.h
+++ b/src/dispatch/host_settings.h
@@ -20,6 +20,7 @@
     ip_address m_store_address;
     std::optional<ip_address> m_machines_address;
     std::optional<ip_address> m_advice_address;
+    std::optional<ip_address> m_metrics_address;
     std::vector<std::string> m_seeds; ///< Peer addresses of some other hosts; may be stale.
     milliseconds m_least_lease{1000}; ///< Shortest lease that the store grants.
     milliseconds m_stop_time{6000};   ///< Time between the order to stop and the end.
--- a/src/dispatch/machine_duty.cpp
+++ b/src/dispatch/machine_duty.cpp
@@ -44,7 +44,7 @@
     std::vector<std::string> m_intended;
 };
 
-std::string encode_progress(const wave_progress& wave)
+std::string encode_progress(const upkeep_progress& wave)
 {
     written_progress written;
     for (const auto& [id, machine] : wave.m_machines) {
@@ -171,7 +171,7 @@
         if (m_waves.contains(wave->m_number) || m_succeeded.contains(wave->m_number)) {
             continue;
         }
-        wave_progress progress;
+        upkeep_progress progress;
         progress.m_wave = *wave;
         progress.m_seen_at = read_boot_clock();
         for (const machine_id& machine : wave->m_machines) {
@@ -192,7 +192,7 @@
     }
 }
 
-asio::awaitable<bool> machine_duty::write_progress(const wave_progress& wave)
+asio::awaitable<bool> machine_duty::write_progress(const upkeep_progress& wave)
 {
     store_commit commit;
     commit.m_guards.emplace_back(owner_key(machines_shard()), revision(m_token.get()));
@@ -329,7 +329,7 @@
     }
 }
 
-asio::awaitable<void> machine_duty::advance_wave(wave_progress& wave)
+asio::awaitable<void> machine_duty::advance_wave(upkeep_progress& wave)
 {
     const std::int64_t number = wave.m_wave.m_number;
     std::vector<machine_id> orders;
--- a/src/dispatch/machine_duty.h
+++ b/src/dispatch/machine_duty.h
@@ -49,12 +49,12 @@
     asio::awaitable<bool> read_progress();
     asio::awaitable<bool> read_machines();
     asio::awaitable<void> ask_pools();
-    asio::awaitable<void> advance_wave(wave_progress& wave);
+    asio::awaitable<void> advance_wave(upkeep_progress& wave);
     void advance_moves();
     asio::awaitable<void> move(machine_id machine);
     asio::awaitable<void> order(std::int64_t wave, machine_id machine);
     bool take_order_allowance();
-    asio::awaitable<bool> write_progress(const wave_progress& wave);
+    asio::awaitable<bool> write_progress(const upkeep_progress& wave);
     [[nodiscard]] bool is_proven() const;
     void take_waves();
 
@@ -62,7 +62,7 @@
     fencing_token m_token;
     bool m_over = false;
     bool m_has_read = false;
-    std::map<std::int64_t, wave_progress> m_waves;
+    std::map<std::int64_t, upkeep_progress> m_waves;
     std::map<std::int64_t, std::set<machine_id>> m_begun;    ///< As written by former holders.
     std::map<std::int64_t, std::set<machine_id>> m_intended; ///< Orders of former holders.
     std::set<std::int64_t> m_succeeded;
--- a/src/dispatch/peer_table.cpp
+++ b/src/dispatch/peer_table.cpp
@@ -36,6 +36,7 @@
                                         std::uint64_t turn)
 {
     std::vector<std::string> all;
+    all.reserve(table.m_peers.size());
     for (const auto& [address, view] : table.m_peers) {
         all.push_back(address);
     }
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -428,7 +428,7 @@
             log_warning("shard: worker " + worker.str() + " has no usable address");
             break;
         }
-        const worker_state& before = *m_shard.m_workers.at(worker);
+        const held_worker& before = *m_shard.m_workers.at(worker);
         const milliseconds wait = !before.m_answered || !request->m_deadline_ms ? milliseconds(0)
                                   : before.m_runs.empty()                       ? hold_wait_idle
                                                                                 : hold_wait_busy;
--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -18,7 +18,7 @@
 /// Typical time until the work of a machine has ended.
 constexpr milliseconds drain_time{1500};
 
-std::uint32_t away_count(const wave_progress& wave)
+std::uint32_t away_count(const upkeep_progress& wave)
 {
     return static_cast<std::uint32_t>(
         std::count_if(wave.m_machines.begin(), wave.m_machines.end(), [](const auto& entry) {
@@ -27,7 +27,7 @@
         }));
 }
 
-std::size_t waiting_count(const wave_progress& wave)
+std::size_t waiting_count(const upkeep_progress& wave)
 {
     return static_cast<std::size_t>(
         std::count_if(wave.m_machines.begin(), wave.m_machines.end(), [](const auto& entry) {
@@ -46,7 +46,7 @@
 
 } // namespace
 
-void update_wave(wave_progress& wave, const std::vector<machine_listing>& listings,
+void update_wave(upkeep_progress& wave, const std::vector<machine_listing>& listings,
                  milliseconds upkeep_time, time_point now)
 {
     std::map<machine_id, const machine_listing*> listed;
@@ -84,7 +84,8 @@
 }
 
 std::map<service_id, std::vector<machine_id>>
-machines_to_drain(wave_progress& wave, const std::vector<machine_listing>& listings, time_point now)
+machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
+                  time_point now)
 {
     std::map<service_id, std::vector<machine_id>> drained;
     std::map<service_id, std::size_t> sizes;
@@ -137,7 +138,7 @@
     return drained;
 }
 
-std::vector<machine_id> machines_to_order(const wave_progress& wave,
+std::vector<machine_id> machines_to_order(const upkeep_progress& wave,
                                           const std::set<machine_id>& clear, time_point now)
 {
     std::vector<machine_id> orders;
@@ -156,14 +157,14 @@
     return orders;
 }
 
-bool is_complete(const wave_progress& wave)
+bool is_complete(const upkeep_progress& wave)
 {
     return std::all_of(wave.m_machines.begin(), wave.m_machines.end(), [](const auto& entry) {
         return entry.second.m_begun || entry.second.m_phase == upkeep_phase::done;
     });
 }
 
-bool is_urgent(const wave_progress& wave, milliseconds upkeep_time, time_point now)
+bool is_urgent(const upkeep_progress& wave, milliseconds upkeep_time, time_point now)
 {
     const auto rounds = static_cast<double>(waiting_count(wave)) /
                         static_cast<double>(std::max<std::uint32_t>(1, wave.m_wave.m_most_at_once));
--- a/src/fleet/upkeep_plan.h
+++ b/src/fleet/upkeep_plan.h
@@ -30,7 +30,7 @@
 };
 
 /// The holder's view of one wave.
-struct wave_progress {
+struct upkeep_progress {
     upkeep_wave m_wave;
     time_point m_seen_at{};
     bool m_succeeded = false;
@@ -39,23 +39,23 @@
 };
 
 /// Takes the list of machines: notices which are down and which are back.
-void update_wave(wave_progress& wave, const std::vector<machine_listing>& listings,
+void update_wave(upkeep_progress& wave, const std::vector<machine_listing>& listings,
                  milliseconds upkeep_time, time_point now);
 
 /// Chooses machines to drain, and gives all that are to be kept free of work, by pool. Machines
 /// with little work, as the pools tell, go first.
 std::map<service_id, std::vector<machine_id>>
-machines_to_drain(wave_progress& wave, const std::vector<machine_listing>& listings,
+machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
                   time_point now);
 
 /// Machines that are clear of work and may be ordered down without too many being away.
-std::vector<machine_id> machines_to_order(const wave_progress& wave,
+std::vector<machine_id> machines_to_order(const upkeep_progress& wave,
                                           const std::set<machine_id>& clear, time_point now);
 
 /// True when every machine that stays has begun its upkeep.
-bool is_complete(const wave_progress& wave);
+bool is_complete(const upkeep_progress& wave);
 
 /// True when the time left is short for the machines left.
-bool is_urgent(const wave_progress& wave, milliseconds upkeep_time, time_point now);
+bool is_urgent(const upkeep_progress& wave, milliseconds upkeep_time, time_point now);
 
 } // namespace guavabay
--- a/src/metrics/latency_histogram.h
+++ b/src/metrics/latency_histogram.h
@@ -4,6 +4,7 @@
 #include <boost/histogram/histogram.hpp>
 #include <boost/histogram/make_histogram.hpp>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "core/time.h"
@@ -42,4 +43,8 @@
     double m_sum_seconds = 0;
 };
 
+/// Appends a distribution in the Prometheus text format under a name and labels.
+void append_histogram(std::string& text, const char* name, const std::string& labels,
+                      const latency_histogram& histogram);
+
 } // namespace guavabay
--- a/src/metrics/request_metrics.cpp
+++ b/src/metrics/request_metrics.cpp
@@ -17,24 +17,6 @@
     return kind == service_class::interactive ? "interactive" : "batch";
 }
 
-void append_histogram(std::string& text, const char* name, const std::string& labels,
-                      const latency_histogram& histogram)
-{
-    char line[256];
-    for (const auto& [bound, below] : histogram.cumulative()) {
-        std::snprintf(line, sizeof line, "%s_bucket{%s,le=\"%.6g\"} %llu\n", name, labels.c_str(),
-                      bound, static_cast<unsigned long long>(below));
-        text += line;
-    }
-    std::snprintf(line, sizeof line, "%s_bucket{%s,le=\"+Inf\"} %llu\n", name, labels.c_str(),
-                  static_cast<unsigned long long>(histogram.count()));
-    text += line;
-    std::snprintf(line, sizeof line, "%s_sum{%s} %.9g\n%s_count{%s} %llu\n", name, labels.c_str(),
-                  histogram.sum(), name, labels.c_str(),
-                  static_cast<unsigned long long>(histogram.count()));
-    text += line;
-}
-
 json::object percentiles(const latency_histogram& histogram)
 {
     constexpr double ms_per_second = 1000;
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -38,7 +38,7 @@
     submission_record* m_record = nullptr;
     const submission_step* m_step = nullptr;
     task_name m_name;
-    const task_state* m_task = nullptr;
+    const scheduled_task* m_task = nullptr;
     resources m_demand; ///< What is reserved.
     milliseconds m_expected{0};
 };
@@ -48,7 +48,7 @@
     return std::find(info.m_labels.begin(), info.m_labels.end(), label) != info.m_labels.end();
 }
 
-std::uint32_t same_step_runs(const worker_state& worker, const task_name& name)
+std::uint32_t same_step_runs(const held_worker& worker, const task_name& name)
 {
     std::uint32_t count = 0;
     const task_name first{name.m_submission, name.m_occurrence, name.m_step, 0};
@@ -71,7 +71,7 @@
     });
 }
 
-std::uint32_t same_step_in_rack(const shard& state, const worker_state& worker,
+std::uint32_t same_step_in_rack(const shard& state, const held_worker& worker,
                                 const task_name& name)
 {
     std::uint32_t count = 0;
@@ -84,7 +84,7 @@
 }
 
 /// Serving tasks disturb and are disturbed by filling ones.
-bool is_disturbed(const worker_state& worker, const submission_step& step)
+bool is_disturbed(const held_worker& worker, const submission_step& step)
 {
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const auto& entry) {
         return step.m_fills ? entry.second.m_tail_target_ms > 0
@@ -93,13 +93,13 @@
 }
 
 /// True when it is known what everything on a worker takes.
-bool room_is_known(const worker_state& worker)
+bool room_is_known(const held_worker& worker)
 {
     return std::none_of(worker.m_runs.begin(), worker.m_runs.end(),
                         [](const auto& entry) { return entry.second.m_unknown_size; });
 }
 
-bool may_run_on(const worker_state& worker, const wanted_task& wanted)
+bool may_run_on(const held_worker& worker, const wanted_task& wanted)
 {
     const submission_step& step = *wanted.m_step;
     return (step.m_required_label.empty() || has_label(worker.m_info, step.m_required_label)) &&
@@ -108,7 +108,7 @@
 }
 
 /// Cost of a worker for a task, lower is better, in run times.
-double cost_of(const shard& state, const worker_state& worker, const wanted_task& wanted)
+double cost_of(const shard& state, const held_worker& worker, const wanted_task& wanted)
 {
     const submission_step& step = *wanted.m_step;
     const bool remote = !step.m_data_rack.empty() && worker.m_info.m_rack.str() != step.m_data_rack;
@@ -132,11 +132,11 @@
     return cost;
 }
 
-worker_state* choose_worker(shard& state, const wanted_task& wanted,
-                            const std::vector<worker_state*>& kept, const std::string& only_rack,
-                            time_point now)
+held_worker* choose_worker(shard& state, const wanted_task& wanted,
+                           const std::vector<held_worker*>& kept, const std::string& only_rack,
+                           time_point now)
 {
-    worker_state* best = nullptr;
+    held_worker* best = nullptr;
     double best_cost = 0;
     const submission_step& step = *wanted.m_step;
     const bool wait_for_data = !step.m_data_rack.empty() &&
@@ -145,7 +145,7 @@
                                    std::chrono::duration_cast<duration>(
                                        wanted.m_expected * (state.m_bounds.m_remote_factor - 1));
     for (const auto& [id, owned] : state.m_workers) {
-        worker_state& worker = *owned;
+        held_worker& worker = *owned;
         if (!takes_starts(worker, now) || !room_is_known(worker) ||
             !fits(wanted.m_demand, worker.m_info.m_capacity - worker.m_reserved) ||
             !may_run_on(worker, wanted) ||
@@ -166,16 +166,16 @@
 }
 
 /// The worker with most free cores that could hold a task which found no room.
-worker_state* worker_to_keep(shard& state, const wanted_task& wanted, time_point now)
+held_worker* worker_to_keep(shard& state, const wanted_task& wanted, time_point now)
 {
-    worker_state* best = nullptr;
+    held_worker* best = nullptr;
     for (const auto& [id, owned] : state.m_workers) {
-        worker_state& worker = *owned;
+        held_worker& worker = *owned;
         if (!takes_starts(worker, now) || !fits(wanted.m_demand, worker.m_info.m_capacity) ||
             !may_run_on(worker, wanted)) {
             continue;
         }
-        const auto free = [](const worker_state& one) {
+        const auto free = [](const held_worker& one) {
             return (one.m_info.m_capacity - one.m_reserved).m_cpu_millis;
         };
         if (best == nullptr || free(worker) > free(*best)) {
@@ -186,7 +186,7 @@
 }
 
 wanted_task describe(const shard& state, submission_record& record, const task_name& name,
-                     const task_state& task)
+                     const scheduled_task& task)
 {
     const submission_step& step = record.m_what.m_steps[name.m_step];
     wanted_task wanted{&record, &step,         name,
@@ -197,7 +197,7 @@
     return wanted;
 }
 
-void start_run(shard& state, const wanted_task& wanted, task_state& task, worker_state& worker,
+void start_run(shard& state, const wanted_task& wanted, scheduled_task& task, held_worker& worker,
                run_number run, time_point now)
 {
     run_slot slot;
@@ -239,7 +239,7 @@
     return run_number(++state.m_next_run);
 }
 
-bool may_start(const shard& state, const task_state& task, time_point now)
+bool may_start(const shard& state, const scheduled_task& task, time_point now)
 {
     const bool awaited = !state.m_awaited.empty() && now < state.m_awaited_until;
     return task.m_phase == task_phase::ready && task.m_not_before <= now &&
@@ -256,10 +256,10 @@
 void start_gang(shard& state, submission_record& record, std::uint32_t occurrence,
                 std::uint32_t step_index, time_point now)
 {
-    std::vector<task_state>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
+    std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
     const submission_step& step = record.m_what.m_steps[step_index];
     if (!std::all_of(tasks.begin(), tasks.end(),
-                     [&](const task_state& task) { return may_start(state, task, now); })) {
+                     [&](const scheduled_task& task) { return may_start(state, task, now); })) {
         return;
     }
     std::vector<std::string> racks{""};
@@ -273,12 +273,12 @@
         }
     }
     for (const std::string& rack : racks) {
-        std::vector<worker_state*> chosen;
+        std::vector<held_worker*> chosen;
         std::vector<resources> reserved;
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const wanted_task wanted =
                 describe(state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            worker_state* worker = choose_worker(state, wanted, {}, rack, now);
+            held_worker* worker = choose_worker(state, wanted, {}, rack, now);
             if (worker == nullptr) {
                 break;
             }
@@ -294,7 +294,7 @@
         }
         const run_number run = next_run(state);
         std::string checkpoint;
-        for (const task_state& task : tasks) {
+        for (const scheduled_task& task : tasks) {
             checkpoint = std::max(checkpoint, task.m_checkpoint);
         }
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
@@ -310,7 +310,7 @@
 void start_ready(shard& state, time_point now, wall_time wall)
 {
     (void)wall;
-    std::vector<worker_state*> kept;
+    std::vector<held_worker*> kept;
     for (submission_record* record : state.m_ranked) {
         for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
             occurrence_state& occurrence = record->m_occurrences[k];
@@ -327,20 +327,20 @@
                     continue;
                 }
                 for (std::uint32_t i = 0; i < occurrence.m_steps[s].size(); ++i) {
-                    task_state& task = occurrence.m_steps[s][i];
+                    scheduled_task& task = occurrence.m_steps[s][i];
                     if (!may_start(state, task, now)) {
                         continue;
                     }
                     const wanted_task wanted =
                         describe(state, *record, {record->m_id, k, s, i}, task);
-                    worker_state* worker = choose_worker(state, wanted, kept, "", now);
+                    held_worker* worker = choose_worker(state, wanted, kept, "", now);
                     if (worker != nullptr) {
                         start_run(state, wanted, task, *worker, next_run(state), now);
                         continue;
                     }
-                    worker_state* held = kept.size() < max_kept_workers
-                                             ? worker_to_keep(state, wanted, now)
-                                             : nullptr;
+                    held_worker* held = kept.size() < max_kept_workers
+                                            ? worker_to_keep(state, wanted, now)
+                                            : nullptr;
                     if (held != nullptr &&
                         std::find(kept.begin(), kept.end(), held) == kept.end()) {
                         kept.push_back(held);
@@ -356,7 +356,7 @@
 void review_workers(shard& state, time_point now)
 {
     for (const auto& [id, owned] : state.m_workers) {
-        worker_state& worker = *owned;
+        held_worker& worker = *owned;
         if (worker.m_answered && !worker.m_lapsed && now > worker.m_lease_until) {
             state.m_notes.push_back("worker's lease ended: worker=" + id.str() +
                                     " runs=" + std::to_string(worker.m_runs.size()));
@@ -392,7 +392,7 @@
 /// Others of a lasting task's step that are not at work.
 std::int32_t others_away(const submission_record& record, const task_name& name)
 {
-    const std::vector<task_state>& tasks =
+    const std::vector<scheduled_task>& tasks =
         record.m_occurrences[name.m_occurrence].m_steps[name.m_step];
     std::int32_t away = 0;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
@@ -403,7 +403,7 @@
 
 /// True when a lasting task may be stopped to run elsewhere: its step can bear it, and there is
 /// room for it.
-bool may_move(shard& state, const worker_state& worker, const run_slot& slot, time_point now)
+bool may_move(shard& state, const held_worker& worker, const run_slot& slot, time_point now)
 {
     const found_task found = find_task(state, slot.m_task);
     if (found.m_task == nullptr || found.m_task->m_worker != &worker) {
@@ -425,7 +425,7 @@
 void evacuate(shard& state, time_point now)
 {
     for (const auto& [id, owned] : state.m_workers) {
-        worker_state& worker = *owned;
+        held_worker& worker = *owned;
         if ((!worker.m_cordoned && !worker.m_info.m_draining) || !worker.m_answered ||
             worker.m_lapsed) {
             continue;
@@ -466,7 +466,7 @@
 
 } // namespace
 
-bool takes_starts(const worker_state& worker, time_point now)
+bool takes_starts(const held_worker& worker, time_point now)
 {
     return worker.m_answered && worker.m_use_stored && !worker.m_lapsed && !worker.m_gone &&
            !worker.m_cordoned && !worker.m_info.m_draining && worker.m_shunned_until <= now &&
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -33,20 +33,20 @@
 constexpr double least_sample = 0.2;
 constexpr double largest_sample = 6;
 
-run_slot* find_slot(worker_state& worker, const task_name& task, run_number run)
+run_slot* find_slot(held_worker& worker, const task_name& task, run_number run)
 {
     const auto found = worker.m_runs.find({task, run});
     return found == worker.m_runs.end() ? nullptr : &found->second;
 }
 
 /// The worker's run of a task belongs to the task as it stands.
-bool is_current(const worker_state& worker, const found_task& found, run_number run)
+bool is_current(const held_worker& worker, const found_task& found, run_number run)
 {
     return found.m_task != nullptr && found.m_task->m_worker == &worker &&
            found.m_task->m_run == run && found.m_task->m_phase == task_phase::placed;
 }
 
-void learn_duration(shard& state, worker_state& worker, const submission_record& record,
+void learn_duration(shard& state, held_worker& worker, const submission_record& record,
                     const run_slot& slot, time_point now)
 {
     if (slot.m_lasting || slot.m_estimate <= milliseconds(0) || slot.m_pace < 100) {
@@ -66,7 +66,7 @@
 }
 
 /// Adopts a run that a former owner started, or marks one that must not be there.
-void take_unknown_run(shard& state, worker_state& worker, const reported_run& reported,
+void take_unknown_run(shard& state, held_worker& worker, const reported_run& reported,
                       time_point now)
 {
     run_slot slot;
@@ -103,7 +103,7 @@
         return;
     }
     // Even a run that is not wanted keeps its task from being started beside it.
-    task_state& task = *found.m_task;
+    scheduled_task& task = *found.m_task;
     task.m_phase = task_phase::placed;
     task.m_worker = &worker;
     task.m_run = reported.m_run;
@@ -115,7 +115,7 @@
     }
 }
 
-void take_running(shard& state, worker_state& worker, const reported_run& reported, time_point now)
+void take_running(shard& state, held_worker& worker, const reported_run& reported, time_point now)
 {
     run_slot* slot = find_slot(worker, reported.m_task, reported.m_run);
     if (slot == nullptr) {
@@ -149,12 +149,12 @@
     }
 }
 
-void take_failure(shard& state, worker_state& worker, const found_task& found,
+void take_failure(shard& state, held_worker& worker, const found_task& found,
                   const reported_end& end, bool current, time_point now, wall_time wall)
 {
     submission_record& record = *found.m_record;
     const submission_step& step = record.m_what.m_steps[end.m_task.m_step];
-    task_state& task = *found.m_task;
+    scheduled_task& task = *found.m_task;
     if (current) {
         make_ready(state, task, now + (step.m_lasting ? lasting_retry_pause : retry_pause));
     }
@@ -170,7 +170,7 @@
     }
 }
 
-void take_end(shard& state, worker_state& worker, const reported_end& end, time_point now,
+void take_end(shard& state, held_worker& worker, const reported_end& end, time_point now,
               wall_time wall)
 {
     const found_task found = find_task(state, end.m_task);
@@ -222,7 +222,7 @@
 }
 
 /// Frees the room of runs that the worker does not list although it has answered about them.
-void drop_vanished(shard& state, worker_state& worker, const worker_report& report, time_point sent,
+void drop_vanished(shard& state, held_worker& worker, const worker_report& report, time_point sent,
                    time_point now)
 {
     std::set<std::pair<task_name, run_number>> listed;
@@ -246,7 +246,7 @@
 
 } // namespace
 
-void make_ready(shard& state, task_state& task, time_point not_before)
+void make_ready(shard& state, scheduled_task& task, time_point not_before)
 {
     task.m_phase = task_phase::ready;
     task.m_worker = nullptr;
@@ -258,7 +258,7 @@
     state.m_order_changed = true;
 }
 
-void free_slot(shard& state, worker_state& worker, const run_slot& slot, time_point not_before)
+void free_slot(shard& state, held_worker& worker, const run_slot& slot, time_point not_before)
 {
     const found_task found = find_task(state, slot.m_task);
     if (is_current(worker, found, slot.m_run)) {
@@ -268,7 +268,7 @@
     worker.m_runs.erase({slot.m_task, slot.m_run});
 }
 
-void stop_run(shard& state, worker_state& worker, run_slot& slot, bool detach)
+void stop_run(shard& state, held_worker& worker, run_slot& slot, bool detach)
 {
     const found_task found = find_task(state, slot.m_task);
     if (is_current(worker, found, slot.m_run)) {
@@ -290,7 +290,7 @@
     if (found.m_task == nullptr || found.m_task->m_phase == task_phase::done) {
         return;
     }
-    task_state& task = *found.m_task;
+    scheduled_task& task = *found.m_task;
     occurrence_state& occurrence = record.m_occurrences[name.m_occurrence];
     if (task.m_phase == task_phase::placed && task.m_worker != nullptr) {
         run_slot* other = find_slot(*task.m_worker, name, task.m_run);
@@ -325,7 +325,7 @@
     for (occurrence_state& occurrence : record.m_occurrences) {
         for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
             for (std::size_t index = 0; index < occurrence.m_steps[step].size(); ++index) {
-                task_state& task = occurrence.m_steps[step][index];
+                scheduled_task& task = occurrence.m_steps[step][index];
                 if (task.m_phase != task_phase::placed || task.m_worker == nullptr) {
                     continue;
                 }
@@ -354,7 +354,7 @@
     }
 }
 
-void blame_worker(shard& state, worker_state& worker, time_point now)
+void blame_worker(shard& state, held_worker& worker, time_point now)
 {
     ++worker.m_failures_in_row;
     if (worker.m_failures_in_row < failures_before_shun) {
@@ -376,13 +376,13 @@
                             " for_ms=" + std::to_string(worker.m_shun_time.count()));
 }
 
-std::int64_t worker_clock(const worker_state& worker, time_point now)
+std::int64_t worker_clock(const held_worker& worker, time_point now)
 {
     return worker.m_clock_ms +
            std::chrono::duration_cast<milliseconds>(now - worker.m_clock_at).count();
 }
 
-void extend_lease(worker_state& worker, std::int64_t deadline_ms)
+void extend_lease(held_worker& worker, std::int64_t deadline_ms)
 {
     const double left = static_cast<double>(deadline_ms - worker.m_clock_ms) / slowest_clock;
     const time_point until =
@@ -397,7 +397,7 @@
     if (found == state.m_workers.end() || state.m_lost) {
         return std::nullopt;
     }
-    worker_state& worker = *found->second;
+    held_worker& worker = *found->second;
     hold_request request{id, worker.m_info.m_address, std::nullopt, worker.m_stored_end};
     // A hold that gets no answer may still extend the lease; after a failure the worker is only
     // asked, so that a lost worker's lease ends.
@@ -418,7 +418,7 @@
     if (found == state.m_workers.end()) {
         return;
     }
-    worker_state& worker = *found->second;
+    held_worker& worker = *found->second;
     if (report.m_born_ms != 0 && worker.m_born_ms != 0 && report.m_born_ms != worker.m_born_ms) {
         state.m_notes.push_back("worker has a new life: worker=" + id.str());
         end_life(state, worker, now, true);
@@ -471,7 +471,7 @@
         state.m_notes.push_back("a worker knows a newer owner: worker=" + id.str());
     }
     else if (outcome == order_outcome::other_life) {
-        worker_state& worker = *found->second;
+        held_worker& worker = *found->second;
         end_life(state, worker, now, false);
         worker.m_runs.clear();
         worker.m_reserved = {};
@@ -496,7 +496,7 @@
     if (found == state.m_workers.end()) {
         return;
     }
-    worker_state& worker = *found->second;
+    held_worker& worker = *found->second;
     if (outcome == order_outcome::other_life) {
         take_hold_failure(state, order.m_worker, outcome, now);
         return;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -17,12 +17,12 @@
 /// A submission's objective when the configuration no longer has its queue.
 const queue_contract no_contract{};
 
-worker_state& add_worker(shard& state, const worker_listing& listing)
+held_worker& add_worker(shard& state, const worker_listing& listing)
 {
-    auto worker = std::make_unique<worker_state>();
+    auto worker = std::make_unique<held_worker>();
     worker->m_info = listing;
     worker->m_born_ms = listing.m_born_ms;
-    worker_state& added = *worker;
+    held_worker& added = *worker;
     state.m_workers[listing.m_id] = std::move(worker);
     state.m_pending.m_entries.emplace_back(log_worker_used{listing.m_id, listing.m_address});
     return added;
@@ -162,7 +162,7 @@
         if (!open) {
             continue;
         }
-        for (task_state& task : occurrence.m_steps[i]) {
+        for (scheduled_task& task : occurrence.m_steps[i]) {
             if (task.m_phase == task_phase::blocked) {
                 task.m_phase = task_phase::ready;
             }
@@ -188,7 +188,7 @@
         state.m_submissions.erase(forgotten->m_id);
     }
     else if (const auto* used = std::get_if<log_worker_used>(&entry)) {
-        auto worker = std::make_unique<worker_state>();
+        auto worker = std::make_unique<held_worker>();
         worker->m_info.m_id = used->m_worker;
         worker->m_info.m_address = used->m_address;
         worker->m_info.m_service = state.m_service;
@@ -223,8 +223,8 @@
     for (submission_record* record : state.m_open) {
         set_objective(state, *record);
         for (occurrence_state& occurrence : record->m_occurrences) {
-            for (std::vector<task_state>& step : occurrence.m_steps) {
-                for (task_state& task : step) {
+            for (std::vector<scheduled_task>& step : occurrence.m_steps) {
+                for (scheduled_task& task : step) {
                     task.m_inherited = true;
                     task.m_away_since = now;
                 }
@@ -233,7 +233,7 @@
     }
 }
 
-void end_life(shard& state, worker_state& worker, time_point now, bool keep_unanswered)
+void end_life(shard& state, held_worker& worker, time_point now, bool keep_unanswered)
 {
     for (auto it = worker.m_runs.begin(); it != worker.m_runs.end();) {
         run_slot& slot = it->second;
@@ -266,7 +266,7 @@
         }
         listed.insert(listing.m_id);
         const auto found = state.m_workers.find(listing.m_id);
-        worker_state& worker =
+        held_worker& worker =
             found != state.m_workers.end() ? *found->second : add_worker(state, listing);
         if (listing.m_born_ms != 0 && worker.m_born_ms != 0 &&
             listing.m_born_ms != worker.m_born_ms && listing.m_born_ms > worker.m_born_ms) {
@@ -291,7 +291,7 @@
         }
     }
     for (auto it = state.m_workers.begin(); it != state.m_workers.end();) {
-        worker_state& worker = *it->second;
+        held_worker& worker = *it->second;
         if (!listed.contains(it->first) && worker.m_listed) {
             worker.m_listed = false;
             worker.m_unlisted_since = now;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -49,14 +49,14 @@
 /// Where a task stands.
 enum class task_phase : std::uint8_t { blocked, ready, placed, done };
 
-struct worker_state;
+struct held_worker;
 
 /// One task of one occurrence.
-struct task_state {
+struct scheduled_task {
     task_phase m_phase = task_phase::blocked;
     bool m_inherited = false; ///< A former owner may have started it on a worker not heard yet.
     std::uint16_t m_failures = 0;
-    worker_state* m_worker = nullptr; ///< Where it is placed.
+    held_worker* m_worker = nullptr; ///< Where it is placed.
     run_number m_run;
     std::string m_checkpoint;
     worker_id m_failed_on;      ///< Worker of the last failure.
@@ -70,7 +70,7 @@
 struct occurrence_state {
     bool m_created = false;
     bool m_done = false;
-    std::vector<std::vector<task_state>> m_steps;
+    std::vector<std::vector<scheduled_task>> m_steps;
     std::vector<std::uint32_t> m_open; ///< Tasks of each step that are not done.
 };
 
@@ -127,7 +127,7 @@
 };
 
 /// One life of a worker, as its owner sees it.
-struct worker_state {
+struct held_worker {
     worker_listing m_info;
     bool m_use_stored = false; ///< The log says that it is in use.
     bool m_listed = false;     ///< In the platform's list at the last reading.
@@ -220,7 +220,7 @@
     std::unordered_set<submission_record*> m_open;
     std::unordered_map<submission_id, time_point>
         m_refused; ///< First refusal of those that return.
-    std::map<worker_id, std::unique_ptr<worker_state>> m_workers;
+    std::map<worker_id, std::unique_ptr<held_worker>> m_workers;
 
     log_batch m_pending; ///< Not handed out for writing yet.
     std::uint64_t m_next_batch = 1;
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -8,7 +8,7 @@
 /// A record and one of its tasks.
 struct found_task {
     submission_record* m_record = nullptr;
-    task_state* m_task = nullptr;
+    scheduled_task* m_task = nullptr;
 };
 
 /// Finds a task; both pointers are null when it does not exist or its submission is over.
@@ -34,13 +34,13 @@
 std::uint32_t occurrence_count(const submission& what);
 
 /// Gives a placed task back to those that wait.
-void make_ready(shard& state, task_state& task, time_point not_before);
+void make_ready(shard& state, scheduled_task& task, time_point not_before);
 
 /// Removes a run from its worker and its task, which is ready again.
-void free_slot(shard& state, worker_state& worker, const run_slot& slot, time_point not_before);
+void free_slot(shard& state, held_worker& worker, const run_slot& slot, time_point not_before);
 
 /// Begins to stop a run.
-void stop_run(shard& state, worker_state& worker, run_slot& slot, bool detach);
+void stop_run(shard& state, held_worker& worker, run_slot& slot, bool detach);
 
 /// Marks a task done and closes its submission with the last one.
 void finish_task(shard& state, submission_record& record, const task_name& name, wall_time wall);
@@ -50,22 +50,22 @@
                       wall_time wall);
 
 /// The life of a worker is over: nothing of it runs any more.
-void end_life(shard& state, worker_state& worker, time_point now, bool keep_unanswered);
+void end_life(shard& state, held_worker& worker, time_point now, bool keep_unanswered);
 
 /// Counts a failure against a worker and shuns it after several.
-void blame_worker(shard& state, worker_state& worker, time_point now);
+void blame_worker(shard& state, held_worker& worker, time_point now);
 
 /// True when a worker may get starts at this moment, apart from room.
-bool takes_starts(const worker_state& worker, time_point now);
+bool takes_starts(const held_worker& worker, time_point now);
 
 /// Sets until when a submission earns by its queue's contract and its estimates.
 void set_objective(const shard& state, submission_record& record);
 
 /// Milliseconds that a moment of the runtime's clock corresponds to on the worker's clock.
-std::int64_t worker_clock(const worker_state& worker, time_point now);
+std::int64_t worker_clock(const held_worker& worker, time_point now);
 
 /// Notes that a lease up to a moment of the worker's clock was given.
-void extend_lease(worker_state& worker, std::int64_t deadline_ms);
+void extend_lease(held_worker& worker, std::int64_t deadline_ms);
 
 /// Sets the paces of filling tasks by the tails of the serving ones.
 void adjust_paces(shard& state, time_point now);
--- a/tests/app/reference_test.cpp
+++ b/tests/app/reference_test.cpp
@@ -6,6 +6,7 @@
 #include "app/reference.h"
 #include "app/serve_settings.h"
 #include "core/result.h"
+#include "dispatch/host_settings.h"
 
 using namespace guavabay;
 
@@ -58,10 +59,42 @@
 {
     const std::string configuration = read_document("CONFIGURATION.md");
     CHECK(configuration.find(describe_settings(declare_serve_settings())) != std::string::npos);
+    CHECK(configuration.find(describe_settings(declare_host_settings())) != std::string::npos);
     CHECK(configuration.find(describe_settings(declare_operator_settings())) != std::string::npos);
     CHECK(read_document("HTTP.md").find(describe_errors()) != std::string::npos);
 }
 
+TEST_CASE("settings of a host on the platform are checked")
+{
+    const auto fault = [](const std::vector<std::string>& more) {
+        std::vector<std::string> words{"--host",
+                                       "h1",
+                                       "--zone",
+                                       "z1",
+                                       "--caller-address",
+                                       "127.0.0.1:1",
+                                       "--readiness-address",
+                                       "127.0.0.1:2",
+                                       "--peer-address",
+                                       "127.0.0.1:3",
+                                       "--store-address",
+                                       "127.0.0.1:4"};
+        words.insert(words.end(), more.begin(), more.end());
+        const auto parsed = parse_command("dispatch", "test", declare_host_settings(), "", words);
+        if (!parsed) {
+            return last_reason();
+        }
+        return make_host_settings(parsed->m_values) ? std::string() : last_reason();
+    };
+    CHECK(fault({}).empty());
+    CHECK(fault({"--upkeep-seconds", "1.5"}).empty());
+    CHECK(fault({"--upkeep-seconds", "soon"}) ==
+          "upkeep-seconds: 'soon' is not allowed; allowed: 0 to 3600");
+    CHECK(fault({"--drain-ms", "0"}) == "--drain-ms: '0' is not allowed; allowed: 1 to 60000 ms");
+    CHECK(fault({"--seeds", "here"}).find("--seeds: 'here' is not allowed") == 0);
+    CHECK_FALSE(apply_settings_file("/nonexistent/settings"));
+}
+
 TEST_CASE("a wrong setting is named with its allowed range")
 {
     CHECK(fault_with({}).empty());
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -9,7 +9,7 @@
 constexpr milliseconds upkeep_time{2000};
 
 struct wave_world {
-    wave_progress m_wave;
+    upkeep_progress m_wave;
     std::vector<machine_listing> m_listings;
     time_point m_now{seconds(50)};
 
--- a/tests/schedule/load_patterns_test.cpp
+++ b/tests/schedule/load_patterns_test.cpp
@@ -104,6 +104,9 @@
     move_state state;
     time_point now{seconds(100)};
     update_moves(state, listings, now);
+    // A round begins eight moves at most in so small a fleet.
+    choose_moves(state, listings, loads, standby, {}, now);
+    CHECK(state.m_moves.size() == 8);
     choose_moves(state, listings, loads, standby, {}, now);
 
     std::size_t from_spare = 0;
@@ -146,6 +149,7 @@
         CHECK(state.m_moves.empty());
         now += seconds(3);
         choose_moves(state, listings, loads, standby, {}, now);
+        choose_moves(state, listings, loads, standby, {}, now);
         CHECK(state.m_moves.size() == 9);
         for (const auto& [id, move] : state.m_moves) {
             CHECK(move.m_to == service_id("spare"));
@@ -155,7 +159,9 @@
     {
         move_state other;
         update_moves(other, listings, now);
-        choose_moves(other, listings, loads, standby, {machine_id("m12"), machine_id("m13")}, now);
+        const std::set<machine_id> in_wave{machine_id("m12"), machine_id("m13")};
+        choose_moves(other, listings, loads, standby, in_wave, now);
+        choose_moves(other, listings, loads, standby, in_wave, now);
         CHECK_FALSE(other.m_moves.contains(machine_id("m12")));
         // Four from the standby pool, and the four free ones of the idle pool but for its reserve.
         CHECK_FALSE(other.m_moves.contains(machine_id("m13")));
@@ -163,4 +169,37 @@
     }
 }
 
+// Arrivals double every 0.7 s at the beginning of a turn, and a moved machine works after 2 s.
+TEST_CASE("a rising queue asks for machines before it needs them", "[load]")
+{
+    virtual_pool pool(4, worker_size, 5);
+    pool.run_for(milliseconds(200));
+    double needed_early = 0;
+    double per_second = 2;
+    double owed = 0;
+    int number = 0;
+    for (int i = 0; i < 200; ++i) {
+        per_second *= 1.01;
+        owed += per_second * 0.01;
+        while (owed >= 1) {
+            owed -= 1;
+            pool.submit("a" + std::to_string(number++),
+                        make_submission({4}, {2000, 2000, 0}, milliseconds(800)));
+        }
+        pool.run_for(milliseconds(10));
+        needed_early = machines_needed(pool.newest().m_shard, pool.now());
+    }
+    // Cores of the arrivals two seconds later, in machines of 16 cores.
+    const double later = per_second * 4 * 2 * 0.8 / 16;
+    CHECK(needed_early >= later);
+    // A steady rate asks for no multiple of itself.
+    pool.run_for(milliseconds(20000));
+    for (int i = 0; i < 60; ++i) {
+        pool.submit("b" + std::to_string(i),
+                    make_submission({4}, {2000, 2000, 0}, milliseconds(800)));
+        pool.run_for(milliseconds(100));
+    }
+    CHECK(machines_needed(pool.newest().m_shard, pool.now()) <= 2.5 * 10 * 4 * 2 * 0.8 / 16);
+}
+
 } // namespace guavabay
