--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -86,7 +86,7 @@
     grep -q "\"states\":{\"done\":[0-9]*}" "$WORK/listed" && break
     sleep 0.2
 done
-echo "silent watches found: $(cat "$WORK"/h*.log | grep -c 'watch is silent' || true)"
+echo "silent watches found: $(cat "$WORK"/h*.out | grep -c 'watch is silent' || true)"
 echo "tasks accepted $accepted, $(grep -o '"states":{[^}]*}' "$WORK/listed")," \
     "runs started $(grep -c start "$WORK/tasks"), doubled $(grep -c double "$WORK/tasks" || true)"
 "$BUILD/guavabay-standins" check --runs "$run_files" \
--- a/scripts/roll.sh
+++ b/scripts/roll.sh
@@ -27,7 +27,7 @@
     if ! wait_process "h$number"; then
         echo "h$number did not stop cleanly"
     fi
-    grep -h "cut_off" "$WORK/h$number.log" || true
+    grep -h "cut_off" "$WORK/h$number.out" || true
     start_entry "$number"
     wait_ready "$number"
 done
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -8,7 +8,7 @@
 /// Severity of a log line, lowest first.
 enum class log_threshold : unsigned char { info, warning, error };
 
-/// Sends all log lines to standard error. Called once, before any thread starts.
+/// Sends all log lines to standard output. Called once, before any thread starts.
 void start_log();
 
 /// Shows only lines of this severity and above. May be called from any thread.
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -330,7 +330,7 @@
     for (int i = 0; i < 120; ++i) {
         submission what = make_submission(
             {static_cast<std::uint32_t>(pick(1, 5)), static_cast<std::uint32_t>(pick(1, 4))},
-            {pick(1, 6) * 1000, pick(1, 8) * 1000, 0}, milliseconds(pick(100, 900)));
+            {pick(1, 6) * 1000L, pick(1, 8) * 1000L, 0}, milliseconds(pick(100, 900)));
         const std::string id = "a" + std::to_string(i);
         pool.submit(id, what);
         if (pick(0, 9) == 0) {
