Copy nothing for empty lists of the inner protocol

Cause: the sanitizer reported a null argument of memcpy when an empty list was read (cases of tests/dispatch); with a size of zero it did no harm. Ruled out: a wrong length (the length was zero). Change: nothing is copied for a size of zero.

--- a/src/peer/bounded_archive.h
+++ b/src/peer/bounded_archive.h
@@ -49,8 +49,11 @@
         if (size > m_rest.size()) {
             throw cereal::Exception("the data ends early");
         }
-        std::memcpy(data, m_rest.data(), size);
-        m_rest.remove_prefix(size);
+        // An empty list has no memory to copy to.
+        if (size > 0) {
+            std::memcpy(data, m_rest.data(), size);
+            m_rest.remove_prefix(size);
+        }
     }
 
     /// Refuses a number of elements that the rest of the data cannot hold.
