Look workers up once a plan; share moves by what pools lack

Change: workers that take starts are found once a plan, and a demand that found no room is not tried again in it; plans are 4 ms apart at least; need is the work left over the chain left; pools get machines by the share that they lack.

Three tests of load patterns failed before.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -531,6 +531,8 @@
         line("guavabay_open_submissions" + labels, static_cast<double>(state.m_open.size()));
         line("guavabay_workers" + labels, static_cast<double>(state.m_workers.size()));
         line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
+        line("guavabay_placement_candidates_total" + labels,
+             static_cast<double>(state.m_candidates));
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -38,8 +38,10 @@
 /// once while it has ends that were not acknowledged.
 constexpr milliseconds ack_patience{150};
 
-/// Plans follow each other at this distance while nothing happens.
+/// Plans follow each other at this distance while nothing happens, and at least at the second one
+/// while much does: each looks at all that is open.
 constexpr milliseconds tick_interval{50};
+constexpr milliseconds plan_interval{4};
 
 /// Longest a caller's request waits for its write.
 constexpr milliseconds caller_patience{2600};
@@ -53,7 +55,7 @@
 
 shard_owner::shard_owner(owner_surroundings surroundings, service_id service, revision token)
     : m_around(std::move(surroundings)), m_log_wake(*m_around.m_context),
-      m_tick(*m_around.m_context)
+      m_tick(*m_around.m_context), m_plan_wake(*m_around.m_context)
 {
     m_shard.m_service = std::move(service);
     m_shard.m_token = fencing_token(token.get());
@@ -138,10 +140,17 @@
         return;
     }
     m_plan_pending = true;
-    asio::post(*m_around.m_context, [self = shared_from_this()] {
+    const auto carry_on = [self = shared_from_this()](const error_code& /*error*/ = {}) {
         self->m_plan_pending = false;
         self->run_plan();
-    });
+    };
+    const duration since = read_boot_clock() - m_planned_at;
+    if (since >= plan_interval) {
+        asio::post(*m_around.m_context, carry_on);
+        return;
+    }
+    m_plan_wake.expires_after(std::chrono::ceil<milliseconds>(plan_interval - since));
+    m_plan_wake.async_wait(carry_on);
 }
 
 void shard_owner::flush_notes()
@@ -158,7 +167,8 @@
         return;
     }
     follow_proof();
-    plan(m_shard, read_boot_clock(), read_wall_clock());
+    m_planned_at = read_boot_clock();
+    plan(m_shard, m_planned_at, read_wall_clock());
     std::vector<worker_order> orders;
     orders.swap(m_shard.m_orders);
     for (worker_order& order : orders) {
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -100,11 +100,13 @@
     bool m_over = false;
     bool m_releasing = false;
     bool m_plan_pending = false;
+    time_point m_planned_at{};
     bool m_writing = false;
     bool m_store_fails = false;
     time_point m_store_retry_at{};
     asio::steady_timer m_log_wake;
     asio::steady_timer m_tick;
+    asio::steady_timer m_plan_wake;
     std::set<worker_id> m_followed;
     std::map<worker_id, asio::steady_timer*> m_hold_wakes;
     std::multimap<submission_id, waiter*> m_waiters;
--- a/src/fleet/pool_moves.cpp
+++ b/src/fleet/pool_moves.cpp
@@ -155,13 +155,14 @@
         std::max(least_at_once, listings.size() / most_at_once_divisor);
     std::size_t begun = 0;
     while (begun < most_at_once) {
-        // The pool that lacks most is served first.
+        // The pool that lacks the largest share of what it needs is served first.
         std::optional<service_id> receiver;
         double most = 0;
         for (const auto& [name, pool] : pools) {
             const double lack = std::ceil(pool.m_needed) - static_cast<double>(pool.m_has);
-            if (!pool.m_standby && pool.m_known && lack > most) {
-                most = lack;
+            const double share = lack / std::max(1.0, pool.m_needed);
+            if (!pool.m_standby && pool.m_known && lack > 0 && share > most) {
+                most = share;
                 receiver = name;
             }
         }
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -105,6 +105,7 @@
         state.m_refused.erase(refused);
     }
     record->m_work_left = lasting ? 0 : total_work(record->m_what);
+    record->m_chain_left = longest_chain(record->m_what);
     record->m_occurrences.resize(occurrence_count(record->m_what));
     if (record->m_what.m_repeat_count == 0) {
         create_occurrence(*record, 0);
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -20,8 +20,9 @@
 /// Least allowance over the average, for the unevenness of arrivals.
 constexpr double arrival_reserve = 1.3;
 
-/// Work at hand should be done within this time.
-constexpr double backlog_time_ms = 1200;
+/// Work at hand should be done within the time that its chain of steps takes, and within no less
+/// than this, in which a machine that is moved now joins.
+constexpr double least_backlog_time_ms = 1200;
 
 /// Share of a machine that tasks of uneven size fill.
 constexpr double packing_share = 0.9;
@@ -57,7 +58,7 @@
 
 double machines_needed(const shard& state, time_point now)
 {
-    double backlog = 0;
+    double backlog_cores = 0;
     double lasting_cores = 0;
     double lasting_memory = 0;
     double memory_per_core = 0;
@@ -67,7 +68,8 @@
         if (!record->m_accept_stored || record->m_cancel_requested) {
             continue;
         }
-        backlog += record->m_work_left;
+        backlog_cores += record->m_work_left /
+                         std::max(least_backlog_time_ms, to_milliseconds(record->m_chain_left));
         for (const submission_step& step : record->m_what.m_steps) {
             const auto count = static_cast<double>(step.m_task_count);
             const auto cores = static_cast<double>(step.m_demand.m_cpu_millis) / 1000.0;
@@ -88,7 +90,7 @@
             std::max(largest.m_cpu_millis, worker->m_info.m_capacity.m_cpu_millis);
         largest.m_memory_mb = std::max(largest.m_memory_mb, worker->m_info.m_capacity.m_memory_mb);
     }
-    const double cores = std::max(arriving_cores(state.m_arrivals, now), backlog / backlog_time_ms);
+    const double cores = std::max(arriving_cores(state.m_arrivals, now), backlog_cores);
     const double by_cores =
         (cores + lasting_cores) * 1000.0 / static_cast<double>(largest.m_cpu_millis);
     const double by_memory =
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -33,6 +33,13 @@
 /// Slowness up to this factor is noise.
 constexpr double tolerated_slowness = 1.6;
 
+/// Workers that take starts, looked up once for all choices of a plan. Within a plan room only
+/// shrinks, so that a demand that found none need not be tried again.
+struct open_room {
+    std::vector<held_worker*> m_workers;
+    std::vector<resources> m_too_large; ///< Demands for which no worker has room.
+};
+
 /// What a choice of a worker needs to know of a task.
 struct wanted_task {
     submission_record* m_record = nullptr;
@@ -99,6 +106,24 @@
                         [](const auto& entry) { return entry.second.m_unknown_size; });
 }
 
+open_room find_open_room(shard& state, time_point now)
+{
+    open_room room;
+    for (const auto& [id, worker] : state.m_workers) {
+        if (takes_starts(*worker, now) && room_is_known(*worker)) {
+            room.m_workers.push_back(worker.get());
+        }
+    }
+    return room;
+}
+
+/// True when a demand no larger than this one found no room before.
+bool is_too_large(const open_room& room, const resources& demand)
+{
+    return std::any_of(room.m_too_large.begin(), room.m_too_large.end(),
+                       [&](const resources& smaller) { return fits(smaller, demand); });
+}
+
 bool may_run_on(const held_worker& worker, const wanted_task& wanted)
 {
     const submission_step& step = *wanted.m_step;
@@ -132,24 +157,29 @@
     return cost;
 }
 
-held_worker* choose_worker(shard& state, const wanted_task& wanted,
-                           const std::vector<held_worker*>& kept, const std::string& only_rack,
-                           time_point now)
+held_worker* choose_worker(shard& state, open_room& room, const wanted_task& wanted,
+                           const std::string& only_rack, time_point now)
 {
+    if (is_too_large(room, wanted.m_demand)) {
+        return nullptr;
+    }
     held_worker* best = nullptr;
     double best_cost = 0;
+    bool any_room = false;
     const submission_step& step = *wanted.m_step;
     const bool wait_for_data = !step.m_data_rack.empty() &&
                                rack_has_workers(state, step.m_data_rack, now) &&
                                now - wanted.m_record->m_arrived <
                                    std::chrono::duration_cast<duration>(
                                        wanted.m_expected * (state.m_bounds.m_remote_factor - 1));
-    for (const auto& [id, owned] : state.m_workers) {
-        held_worker& worker = *owned;
-        if (!takes_starts(worker, now) || !room_is_known(worker) ||
-            !fits(wanted.m_demand, worker.m_info.m_capacity - worker.m_reserved) ||
-            !may_run_on(worker, wanted) ||
-            std::find(kept.begin(), kept.end(), &worker) != kept.end()) {
+    state.m_candidates += room.m_workers.size();
+    for (held_worker* candidate : room.m_workers) {
+        held_worker& worker = *candidate;
+        if (!fits(wanted.m_demand, worker.m_info.m_capacity - worker.m_reserved)) {
+            continue;
+        }
+        any_room = true;
+        if (!may_run_on(worker, wanted)) {
             continue;
         }
         if ((wait_for_data && worker.m_info.m_rack.str() != step.m_data_rack) ||
@@ -162,27 +192,31 @@
             best_cost = cost;
         }
     }
+    if (!any_room) {
+        room.m_too_large.push_back(wanted.m_demand);
+    }
     return best;
 }
 
-/// The worker with most free cores that could hold a task which found no room.
-held_worker* worker_to_keep(shard& state, const wanted_task& wanted, time_point now)
+/// Keeps the worker with most free cores that could hold a task which found no room from smaller
+/// tasks that follow.
+bool keep_worker(open_room& room, const wanted_task& wanted)
 {
-    held_worker* best = nullptr;
-    for (const auto& [id, owned] : state.m_workers) {
-        held_worker& worker = *owned;
-        if (!takes_starts(worker, now) || !fits(wanted.m_demand, worker.m_info.m_capacity) ||
-            !may_run_on(worker, wanted)) {
-            continue;
-        }
-        const auto free = [](const held_worker& one) {
-            return (one.m_info.m_capacity - one.m_reserved).m_cpu_millis;
-        };
-        if (best == nullptr || free(worker) > free(*best)) {
-            best = &worker;
+    const auto free = [](const held_worker* one) {
+        return (one->m_info.m_capacity - one->m_reserved).m_cpu_millis;
+    };
+    auto best = room.m_workers.end();
+    for (auto it = room.m_workers.begin(); it != room.m_workers.end(); ++it) {
+        if (fits(wanted.m_demand, (*it)->m_info.m_capacity) && may_run_on(**it, wanted) &&
+            (best == room.m_workers.end() || free(*it) > free(*best))) {
+            best = it;
         }
     }
-    return best;
+    if (best == room.m_workers.end()) {
+        return false;
+    }
+    room.m_workers.erase(best);
+    return true;
 }
 
 wanted_task describe(const shard& state, submission_record& record, const task_name& name,
@@ -253,8 +287,8 @@
 }
 
 /// Starts all members of a gang at once, or none.
-void start_gang(shard& state, submission_record& record, std::uint32_t occurrence,
-                std::uint32_t step_index, time_point now)
+void start_gang(shard& state, const open_room& room, submission_record& record,
+                std::uint32_t occurrence, std::uint32_t step_index, time_point now)
 {
     std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
     const submission_step& step = record.m_what.m_steps[step_index];
@@ -273,12 +307,14 @@
         }
     }
     for (const std::string& rack : racks) {
+        // The room that members take is given back where the gang does not fit as a whole.
+        open_room trial = room;
         std::vector<held_worker*> chosen;
         std::vector<resources> reserved;
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const wanted_task wanted =
                 describe(state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            held_worker* worker = choose_worker(state, wanted, {}, rack, now);
+            held_worker* worker = choose_worker(state, trial, wanted, rack, now);
             if (worker == nullptr) {
                 break;
             }
@@ -310,7 +346,8 @@
 void start_ready(shard& state, time_point now, wall_time wall)
 {
     (void)wall;
-    std::vector<held_worker*> kept;
+    open_room room = find_open_room(state, now);
+    std::size_t kept = 0;
     for (submission_record* record : state.m_ranked) {
         for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
             occurrence_state& occurrence = record->m_occurrences[k];
@@ -323,7 +360,7 @@
                     continue;
                 }
                 if (record->m_what.m_steps[s].m_gang) {
-                    start_gang(state, *record, k, s, now);
+                    start_gang(state, room, *record, k, s, now);
                     continue;
                 }
                 for (std::uint32_t i = 0; i < occurrence.m_steps[s].size(); ++i) {
@@ -333,17 +370,13 @@
                     }
                     const wanted_task wanted =
                         describe(state, *record, {record->m_id, k, s, i}, task);
-                    held_worker* worker = choose_worker(state, wanted, kept, "", now);
+                    held_worker* worker = choose_worker(state, room, wanted, "", now);
                     if (worker != nullptr) {
                         start_run(state, wanted, task, *worker, next_run(state), now);
                         continue;
                     }
-                    held_worker* held = kept.size() < max_kept_workers
-                                            ? worker_to_keep(state, wanted, now)
-                                            : nullptr;
-                    if (held != nullptr &&
-                        std::find(kept.begin(), kept.end(), held) == kept.end()) {
-                        kept.push_back(held);
+                    if (kept < max_kept_workers && keep_worker(room, wanted)) {
+                        ++kept;
                     }
                     break;
                 }
@@ -403,7 +436,8 @@
 
 /// True when a lasting task may be stopped to run elsewhere: its step can bear it, and there is
 /// room for it.
-bool may_move(shard& state, const held_worker& worker, const run_slot& slot, time_point now)
+bool may_move(shard& state, open_room& room, const held_worker& worker, const run_slot& slot,
+              time_point now)
 {
     const found_task found = find_task(state, slot.m_task);
     if (found.m_task == nullptr || found.m_task->m_worker != &worker) {
@@ -417,13 +451,14 @@
         return false;
     }
     const wanted_task wanted = describe(state, *found.m_record, slot.m_task, *found.m_task);
-    return choose_worker(state, wanted, {}, "", now) != nullptr;
+    return choose_worker(state, room, wanted, "", now) != nullptr;
 }
 
 /// Moves lasting tasks off workers that leave or are to be kept free, and other tasks too when the
 /// machine is needed soon.
 void evacuate(shard& state, time_point now)
 {
+    std::optional<open_room> room;
     for (const auto& [id, owned] : state.m_workers) {
         held_worker& worker = *owned;
         if ((!worker.m_cordoned && !worker.m_info.m_draining) || !worker.m_answered ||
@@ -435,7 +470,10 @@
                 continue;
             }
             if (slot.m_lasting) {
-                if (may_move(state, worker, slot, now)) {
+                if (!room) {
+                    room = find_open_room(state, now);
+                }
+                if (may_move(state, *room, worker, slot, now)) {
                     stop_run(state, worker, slot, false);
                 }
             }
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// The order is found again at most this often, unless something ended or came.
+/// The order is found again at most this often, and when something ended or came.
 constexpr milliseconds rank_interval{40};
+constexpr milliseconds changed_rank_interval{8};
 
 /// Share of the cores that is planned for work that has to be on time: durations differ from their
 /// estimates, and packing leaves holes. See the replay of overload in docs/design/schedule.md.
@@ -93,7 +94,7 @@
 
 void rank_submissions(shard& state, time_point now, wall_time wall)
 {
-    if (!state.m_order_changed && now - state.m_ranked_at < rank_interval) {
+    if (now - state.m_ranked_at < (state.m_order_changed ? changed_rank_interval : rank_interval)) {
         return;
     }
     state.m_order_changed = false;
@@ -142,6 +143,7 @@
             any = true;
         }
         record->m_work_left = item.m_left.m_lasting ? 0 : item.m_left.m_core_ms;
+        record->m_chain_left = item.m_left.m_chain;
         if (!any) {
             continue;
         }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -91,6 +91,7 @@
     submission_state m_final = submission_state::succeeded;
     std::int64_t m_closed_ms = 0; ///< Unix time.
     double m_work_left = 0;       ///< Core-milliseconds, by corrected estimates.
+    milliseconds m_chain_left{0}; ///< Longest chain of what is left, by corrected estimates.
     std::vector<occurrence_state> m_occurrences;
 };
 
@@ -236,8 +237,9 @@
     arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
-    bool m_evacuate = false;    ///< Cordoned machines are needed soon.
-    std::uint64_t m_starts = 0; ///< Counts orders, for the metrics.
+    bool m_evacuate = false;        ///< Cordoned machines are needed soon.
+    std::uint64_t m_starts = 0;     ///< Counts orders, for the metrics.
+    std::uint64_t m_candidates = 0; ///< Counts workers that were looked at to place tasks.
     std::uint64_t m_ends_done = 0;
     std::uint64_t m_ends_other = 0;
     bool m_order_changed = true; ///< The order of submissions has to be found again.
--- a/tests/schedule/load_patterns_test.cpp
+++ b/tests/schedule/load_patterns_test.cpp
@@ -169,6 +169,77 @@
     }
 }
 
+// The turn of one queue ends with much left to do while another one's begins in a small pool.
+TEST_CASE("pools that lack machines get them by the share that they lack", "[load]")
+{
+    std::vector<machine_listing> listings;
+    std::map<service_id, pool_load> loads;
+    int number = 0;
+    for (const auto& [pool, size] :
+         std::map<std::string, int>{{"ending", 6}, {"rising", 1}, {"spare", 6}}) {
+        for (int i = 0; i < size; ++i) {
+            listings.push_back(machine(number, pool));
+            if (pool != "spare") {
+                loads[service_id(pool)].m_machines[machine_id("m" + std::to_string(number))] = {
+                    5U, false};
+            }
+            ++number;
+        }
+    }
+    loads[service_id("ending")].m_needed = 20;
+    loads[service_id("rising")].m_needed = 10;
+    move_state state;
+    const time_point now{seconds(100)};
+    update_moves(state, listings, now);
+    choose_moves(state, listings, loads, {service_id("spare")}, {}, now);
+    std::map<service_id, int> given;
+    for (const auto& [id, move] : state.m_moves) {
+        ++given[move.m_to];
+    }
+    CHECK(state.m_moves.size() == 6);
+    CHECK(given[service_id("rising")] >= 2);
+    CHECK(given[service_id("ending")] >= 2);
+}
+
+// Tasks of a long chain that are all under way keep their machines busy for the length of the
+// chain; they do not have to be done within a second.
+TEST_CASE("a long chain of steps asks for what it uses at a time", "[load]")
+{
+    virtual_pool pool(4, worker_size, 3);
+    pool.run_for(milliseconds(200));
+    // Each submission uses four cores for four seconds.
+    for (int i = 0; i < 10; ++i) {
+        pool.submit("a" + std::to_string(i),
+                    make_submission({2, 2}, {2000, 2000, 0}, milliseconds(2000)));
+        pool.run_for(milliseconds(100));
+    }
+    pool.run_for(milliseconds(800));
+    CHECK(machines_needed(pool.newest().m_shard, pool.now()) * 16 <= 10 * 4 * 1.3);
+}
+
+// The peak of a turn at the size of a grown pool: each plan looks at a queue of hundreds of
+// submissions, most of which find no room.
+TEST_CASE("a crowded pool of two hundred workers is looked through once a plan", "[load]")
+{
+    virtual_pool pool(200, worker_size, 2);
+    pool.run_for(milliseconds(200));
+    for (int i = 0; i < 600; ++i) {
+        pool.submit("a" + std::to_string(i),
+                    make_submission({12}, {6000, 2000, 0}, milliseconds(60000)));
+    }
+    // Nothing is refused here for lack of time: the estimates are corrected before.
+    pool.run_for(milliseconds(400));
+    shard& state = pool.newest().m_shard;
+    REQUIRE(state.m_open.size() > 100);
+    const std::uint64_t before = state.m_candidates;
+    constexpr std::uint64_t plans = 50;
+    for (std::uint64_t i = 0; i < plans; ++i) {
+        plan(state, pool.now(), wall_time(milliseconds(1700000000000)));
+    }
+    // Every worker is looked at for the first task that finds no room, not for each of them.
+    CHECK(state.m_candidates - before <= plans * 5 * 200);
+}
+
 // Arrivals double every 0.7 s at the beginning of a turn, and a moved machine works after 2 s.
 TEST_CASE("a rising queue asks for machines before it needs them", "[load]")
 {
