Empty machines whose upkeep is due ahead; pack lasting tasks

Cause 3: lasting tasks took the emptiest machine, so hardly any machine was free to be lent in another queue's turn. Cause 4: submissions were refused by the cores of the moment while machines were on their way to the pool.

Ruled out: the order limit (wave orders go out within 2 s), room on other machines (the notes say room=yes, others_away=1 for most that stay).

Change: a task of a step is moved only while the others are known at work; lasting tasks pack on fuller workers, leave machines whose upkeep is due one at a time and do not start on them; machines without lasting tasks are drained first; lasting tasks without room ask for machines; the machines' duty tells owners what is on its way, for admission and order; a lasting task that comes to work is asked for every 80 ms. Lines in the log for work that does not end and lasting tasks that stay.

Tests: a task that is coming to work, lasting tasks leave, a pool that grows.

--- a/src/dispatch/machine_duty.cpp
+++ b/src/dispatch/machine_duty.cpp
@@ -24,6 +24,9 @@
 /// An order that was refused or not answered is sent again after this time.
 constexpr milliseconds order_pause{700};
 
+/// A machine of a wave whose work has not ended after this time is worth a line of the log.
+constexpr milliseconds delay_worth_a_line{3500};
+
 /// Share of the platform's limit of orders a second that is used, and the time of which unused
 /// allowance is kept.
 constexpr double allowance_share = 0.8;
@@ -296,7 +299,7 @@
         update_wave(wave, m_listings, upkeep_time, read_boot_clock());
         const bool urgent = is_urgent(wave, upkeep_time, read_boot_clock());
         for (const auto& [pool, machines] :
-             machines_to_drain(wave, m_listings, read_boot_clock())) {
+             machines_to_drain(wave, m_listings, m_loads, read_boot_clock())) {
             cordon_request& request = requests[pool];
             request.m_service = pool;
             request.m_urgent = request.m_urgent || urgent;
@@ -305,7 +308,19 @@
             }
         }
     }
+    for (const machine_listing& listing : m_listings) {
+        const bool due = std::any_of(m_waves.begin(), m_waves.end(), [&](const auto& entry) {
+            const auto found = entry.second.m_machines.find(listing.m_machine);
+            return found != entry.second.m_machines.end() &&
+                   found->second.m_phase == upkeep_phase::waiting;
+        });
+        if (due) {
+            requests[listing.m_pool].m_upkeep_due.push_back(listing.m_machine.str());
+        }
+    }
     for (const auto& [machine, move] : m_moves.m_moves) {
+        ++requests[move.m_to].m_coming;
+        requests[move.m_to].m_service = move.m_to;
         if (move.m_phase != move_phase::arriving) {
             requests[move.m_from].m_service = move.m_from;
             requests[move.m_from].m_machines.push_back(machine.str());
@@ -329,9 +344,37 @@
     }
 }
 
+void machine_duty::log_delays(upkeep_progress& wave)
+{
+    std::map<machine_id, service_id> pools;
+    for (const machine_listing& listing : m_listings) {
+        pools[listing.m_machine] = listing.m_pool;
+    }
+    for (auto& [id, machine] : wave.m_machines) {
+        const duration since = read_boot_clock() - machine.m_since;
+        if (machine.m_phase != upkeep_phase::draining || since < delay_worth_a_line ||
+            machine.m_delay_told) {
+            continue;
+        }
+        machine.m_delay_told = true;
+        const service_id& pool = pools[id];
+        const auto load = m_loads.find(pool);
+        std::string text = "machines: work does not end machine=" + id.str() +
+                           " wave=" + std::to_string(wave.m_wave.m_number) + " pool=" + pool.str() +
+                           " clear=" + (m_clear.contains(id) ? "yes" : "no");
+        if (load != m_loads.end() && load->second.m_machines.contains(id)) {
+            const machine_load& one = load->second.m_machines.at(id);
+            text += " runs=" + std::to_string(one.m_runs) +
+                    " lasting=" + (one.m_lasting ? "yes" : "no");
+        }
+        log_info(text);
+    }
+}
+
 asio::awaitable<void> machine_duty::advance_wave(upkeep_progress& wave)
 {
     const std::int64_t number = wave.m_wave.m_number;
+    log_delays(wave);
     std::vector<machine_id> orders;
     for (const machine_id& machine : machines_to_order(wave, m_clear, read_boot_clock())) {
         if (!take_order_allowance()) {
--- a/src/dispatch/machine_duty.h
+++ b/src/dispatch/machine_duty.h
@@ -51,6 +51,7 @@
     asio::awaitable<void> ask_pools();
     asio::awaitable<void> advance_wave(upkeep_progress& wave);
     void advance_moves();
+    void log_delays(upkeep_progress& wave);
     asio::awaitable<void> move(machine_id machine);
     asio::awaitable<void> order(std::int64_t wave, machine_id machine);
     bool take_order_allowance();
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -29,6 +29,8 @@
 /// How long a worker's answer to a hold waits for an end: with runs on it, and without.
 constexpr milliseconds hold_wait_busy{300};
 constexpr milliseconds hold_wait_idle{900};
+/// The same while a lasting task comes to work, on which others of its step may wait.
+constexpr milliseconds hold_wait_starting{80};
 constexpr milliseconds hold_margin{600};
 
 /// Two holds of a worker follow each other at this distance at least.
@@ -51,6 +53,23 @@
 
 constexpr unsigned retry_after_store_s = 2;
 
+/// Of a lasting task that is at work.
+constexpr std::int32_t full_percent = 100;
+
+/// How long a worker's answer to a hold may wait for an end.
+milliseconds hold_wait(const held_worker& worker)
+{
+    const bool starting =
+        std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [](const auto& entry) {
+            return entry.second.m_lasting && entry.second.m_phase != run_phase::stopping &&
+                   entry.second.m_percent < full_percent;
+        });
+    if (starting) {
+        return hold_wait_starting;
+    }
+    return worker.m_runs.empty() ? hold_wait_idle : hold_wait_busy;
+}
+
 } // namespace
 
 shard_owner::shard_owner(owner_surroundings surroundings, service_id service, revision token)
@@ -439,9 +458,8 @@
             break;
         }
         const held_worker& before = *m_shard.m_workers.at(worker);
-        const milliseconds wait = !before.m_answered || !request->m_deadline_ms ? milliseconds(0)
-                                  : before.m_runs.empty()                       ? hold_wait_idle
-                                                                                : hold_wait_busy;
+        const milliseconds wait =
+            !before.m_answered || !request->m_deadline_ms ? milliseconds(0) : hold_wait(before);
         const time_point sent = read_boot_clock();
         const http_answer answer = co_await m_around.m_workers->call(
             *address, platform::encode_hold(*request, m_shard.m_token, wait), wait + hold_margin);
@@ -596,14 +614,17 @@
         return reply;
     }
     reply.m_owner = true;
-    std::vector<machine_id> machines;
-    machines.reserve(request.m_machines.size());
-    for (const std::string& name : request.m_machines) {
-        machines.emplace_back(name);
-    }
+    pool_instructions what;
+    const auto to_id = [](const std::string& name) { return machine_id(name); };
+    std::transform(request.m_machines.begin(), request.m_machines.end(),
+                   std::back_inserter(what.m_cordoned), to_id);
+    std::transform(request.m_upkeep_due.begin(), request.m_upkeep_due.end(),
+                   std::back_inserter(what.m_upkeep_due), to_id);
+    what.m_urgent = request.m_urgent;
+    what.m_coming = request.m_coming;
     const time_point now = read_boot_clock();
-    set_cordon(m_shard, machines, request.m_urgent, now);
-    for (const machine_id& machine : machines) {
+    take_instructions(m_shard, what, now);
+    for (const machine_id& machine : what.m_cordoned) {
         if (is_clear(m_shard, machine)) {
             reply.m_clear.push_back(machine.str());
         }
--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -36,6 +36,17 @@
         }));
 }
 
+bool runs_lasting_tasks(const std::map<service_id, pool_load>& loads,
+                        const machine_listing& listing)
+{
+    const auto pool = loads.find(listing.m_pool);
+    if (pool == loads.end()) {
+        return false;
+    }
+    const auto machine = pool->second.m_machines.find(listing.m_machine);
+    return machine != pool->second.m_machines.end() && machine->second.m_lasting;
+}
+
 void set_phase(upkeep_machine& machine, upkeep_phase phase, time_point now)
 {
     if (machine.m_phase != phase) {
@@ -85,7 +96,7 @@
 
 std::map<service_id, std::vector<machine_id>>
 machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
-                  time_point now)
+                  const std::map<service_id, pool_load>& loads, time_point now)
 {
     std::map<service_id, std::vector<machine_id>> drained;
     std::map<service_id, std::size_t> sizes;
@@ -112,9 +123,10 @@
         }
     }
     while (under_way < limit) {
-        // The next machine comes from the pool of which the smallest share is drained.
+        // The next machine comes from the pool of which the smallest share is drained. One with
+        // lasting tasks serves on until these have left, unless all that are left have some.
         const machine_listing* best = nullptr;
-        double best_share = 0;
+        std::pair<bool, double> best_rank;
         for (const machine_listing& listing : listings) {
             const auto found = wave.m_machines.find(listing.m_machine);
             if (found == wave.m_machines.end() || found->second.m_phase != upkeep_phase::waiting ||
@@ -123,12 +135,13 @@
             }
             const double share = static_cast<double>(drained[listing.m_pool].size()) /
                                  static_cast<double>(sizes[listing.m_pool]);
-            if (best == nullptr || share < best_share) {
+            const std::pair rank(runs_lasting_tasks(loads, listing), share);
+            if (best == nullptr || rank < best_rank) {
                 best = &listing;
-                best_share = share;
+                best_rank = rank;
             }
         }
-        if (best == nullptr) {
+        if (best == nullptr || (best_rank.first && under_way > 0)) {
             break;
         }
         set_phase(wave.m_machines[best->m_machine], upkeep_phase::draining, now);
--- a/src/fleet/upkeep_plan.h
+++ b/src/fleet/upkeep_plan.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "fleet/pool_moves.h"
 #include "worker/machine.h"
 
 namespace guavabay {
@@ -27,6 +28,7 @@
     time_point m_next_order{};    ///< When the order is sent again.
     time_point m_missing_since{}; ///< Since when the list does not show it.
     std::uint32_t m_refusals = 0;
+    bool m_delay_told = false; ///< That its work does not end was logged.
 };
 
 /// The holder's view of one wave.
@@ -43,10 +45,10 @@
                  milliseconds upkeep_time, time_point now);
 
 /// Chooses machines to drain, and gives all that are to be kept free of work, by pool. Machines
-/// with little work, as the pools tell, go first.
+/// without lasting tasks, as the pools tell, go first: the others are emptied meanwhile.
 std::map<service_id, std::vector<machine_id>>
 machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
-                  time_point now);
+                  const std::map<service_id, pool_load>& loads, time_point now);
 
 /// Machines that are clear of work and may be ordered down without too many being away.
 std::vector<machine_id> machines_to_order(const upkeep_progress& wave,
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -44,7 +44,7 @@
 template <typename Archive>
 void serialize(Archive& archive, cordon_request& value)
 {
-    archive(value.m_service, value.m_machines, value.m_urgent);
+    archive(value.m_service, value.m_machines, value.m_urgent, value.m_upkeep_due, value.m_coming);
 }
 
 template <typename Archive>
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -58,7 +58,9 @@
 struct cordon_request {
     service_id m_service;
     std::vector<std::string> m_machines;
-    bool m_urgent = false; ///< Work that does not end soon is stopped.
+    bool m_urgent = false;                 ///< Work that does not end soon is stopped.
+    std::vector<std::string> m_upkeep_due; ///< Machines that are to be kept free later.
+    std::uint32_t m_coming = 0;            ///< Machines on their way to the service's pool.
 };
 
 /// A machine of a pool and what runs on it.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -89,8 +89,7 @@
             }
         }
         const duration wait =
-            std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-                backlog * 1000.0 / static_cast<double>(cores)));
+            time_for_work(state, backlog, static_cast<double>(cores) / 1000.0, now);
         if (now + wait > record->m_late_limit) {
             if (state.m_refused.size() >= max_remembered_refusals) {
                 state.m_refused.clear();
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -24,6 +24,12 @@
 /// than this, in which a machine that is moved now joins.
 constexpr double least_backlog_time_ms = 1200;
 
+/// A machine that is on its way works after about this time.
+constexpr double join_time_ms = 1500;
+
+/// Word of machines on their way is believed for this long.
+constexpr milliseconds coming_validity{1500};
+
 /// Share of a machine that tasks of uneven size fill.
 constexpr double packing_share = 0.9;
 
@@ -44,8 +50,38 @@
     return std::min(expected, recent * most_growth);
 }
 
+/// Cores of the machines that are on their way to the pool.
+double coming_cores(const shard& state, time_point now)
+{
+    if (state.m_coming == 0 || state.m_workers.empty() ||
+        now - state.m_coming_at > coming_validity) {
+        return 0;
+    }
+    double sum = 0;
+    for (const auto& [id, worker] : state.m_workers) {
+        sum += static_cast<double>(worker->m_info.m_capacity.m_cpu_millis) / 1000.0;
+    }
+    return sum / static_cast<double>(state.m_workers.size()) * state.m_coming;
+}
+
 } // namespace
 
+double core_ms_until(const shard& state, double cores, time_point now, time_point until)
+{
+    const double left = std::max(0.0, to_milliseconds(until - now));
+    return cores * left + coming_cores(state, now) * std::max(0.0, left - join_time_ms);
+}
+
+duration time_for_work(const shard& state, double core_ms, double cores, time_point now)
+{
+    double needed = core_ms / cores;
+    if (needed > join_time_ms) {
+        const double coming = coming_cores(state, now);
+        needed = (core_ms + coming * join_time_ms) / (cores + coming);
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(needed));
+}
+
 void note_arrival(shard& state, const submission& what, time_point now)
 {
     arrival_rate& rate = state.m_arrivals;
@@ -95,7 +131,8 @@
         (cores + lasting_cores) * 1000.0 / static_cast<double>(largest.m_cpu_millis);
     const double by_memory =
         (cores * memory_per_core + lasting_memory) / static_cast<double>(largest.m_memory_mb);
-    return std::max(by_cores, by_memory) / packing_share;
+    // A lasting task that fits nowhere gets a machine of its own.
+    return std::max(by_cores, by_memory) / packing_share + state.m_without_room;
 }
 
 } // namespace guavabay
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "schedule/shard_steps.h"
 
@@ -20,6 +21,9 @@
 /// Work on a machine that is needed soon may go on for this long.
 constexpr milliseconds evacuation_patience{800};
 
+/// A lasting task that cannot leave a cordoned worker for this long is worth a note.
+constexpr milliseconds stay_worth_a_note{4000};
+
 /// Workers that are kept for tasks that found no room, per plan.
 constexpr std::size_t max_kept_workers = 3;
 
@@ -48,6 +52,7 @@
     const scheduled_task* m_task = nullptr;
     resources m_demand; ///< What is reserved.
     milliseconds m_expected{0};
+    bool m_avoids_upkeep = false; ///< Not on workers that are to be kept free later.
 };
 
 bool has_label(const worker_listing& info, const std::string& label)
@@ -127,7 +132,8 @@
 bool may_run_on(const held_worker& worker, const wanted_task& wanted)
 {
     const submission_step& step = *wanted.m_step;
-    return (step.m_required_label.empty() || has_label(worker.m_info, step.m_required_label)) &&
+    return !(wanted.m_avoids_upkeep && worker.m_upkeep_due) &&
+           (step.m_required_label.empty() || has_label(worker.m_info, step.m_required_label)) &&
            (step.m_max_per_worker == 0 ||
             same_step_runs(worker, wanted.m_name) < step.m_max_per_worker);
 }
@@ -148,12 +154,10 @@
     if (step.m_lasting) {
         cost += weight_same_rack * same_step_in_rack(state, worker, wanted.m_name);
         cost += weight_same_worker * same_step_runs(worker, wanted.m_name);
-        cost += weight_leftover * used / capacity;
         cost += is_disturbed(worker, step) ? weight_disturbed : 0;
     }
-    else {
-        cost += weight_leftover * (1 - used / capacity);
-    }
+    // The fuller worker is taken, so that whole machines stay free for large tasks and other pools.
+    cost += weight_leftover * (1 - used / capacity);
     return cost;
 }
 
@@ -368,13 +372,18 @@
                     if (!may_start(state, task, now)) {
                         continue;
                     }
-                    const wanted_task wanted =
-                        describe(state, *record, {record->m_id, k, s, i}, task);
+                    wanted_task wanted = describe(state, *record, {record->m_id, k, s, i}, task);
+                    wanted.m_avoids_upkeep = wanted.m_step->m_lasting;
                     held_worker* worker = choose_worker(state, room, wanted, "", now);
+                    if (worker == nullptr && wanted.m_avoids_upkeep) {
+                        wanted.m_avoids_upkeep = false;
+                        worker = choose_worker(state, room, wanted, "", now);
+                    }
                     if (worker != nullptr) {
                         start_run(state, wanted, task, *worker, next_run(state), now);
                         continue;
                     }
+                    state.m_without_room += wanted.m_step->m_lasting ? 1 : 0;
                     if (kept < max_kept_workers && keep_worker(room, wanted)) {
                         ++kept;
                     }
@@ -444,25 +453,48 @@
         return false;
     }
     const submission_step& step = found.m_record->m_what.m_steps[slot.m_task.m_step];
-    const bool bearable = worker.m_info.m_draining || step.m_max_unavailable < 0 ||
-                          !found.m_task->m_at_work ||
-                          others_away(*found.m_record, slot.m_task) < step.m_max_unavailable;
-    if (!bearable) {
+    // A task that was not at work at the last answer may have come to work since.
+    const bool needed_now = worker.m_cordoned || worker.m_info.m_draining;
+    const std::int32_t bearable = step.m_max_unavailable >= 0 ? step.m_max_unavailable
+                                  : needed_now ? std::numeric_limits<std::int32_t>::max()
+                                               : 1;
+    if (!worker.m_info.m_draining && others_away(*found.m_record, slot.m_task) >= bearable) {
         return false;
     }
-    const wanted_task wanted = describe(state, *found.m_record, slot.m_task, *found.m_task);
-    return choose_worker(state, room, wanted, "", now) != nullptr;
+    wanted_task wanted = describe(state, *found.m_record, slot.m_task, *found.m_task);
+    wanted.m_avoids_upkeep = !needed_now;
+    const bool has_room = choose_worker(state, room, wanted, "", now) != nullptr;
+    state.m_without_room += has_room ? 0 : 1;
+    return has_room;
 }
 
-/// Moves lasting tasks off workers that leave or are to be kept free, and other tasks too when the
-/// machine is needed soon.
+void note_stay(shard& state, open_room& room, const held_worker& worker, const run_slot& slot,
+               time_point now)
+{
+    const found_task found = find_task(state, slot.m_task);
+    std::string text = "lasting task stays: task=" + to_string(slot.m_task) +
+                       " worker=" + worker.m_info.m_id.str();
+    if (found.m_task != nullptr && found.m_task->m_worker == &worker) {
+        const submission_step& step = found.m_record->m_what.m_steps[slot.m_task.m_step];
+        const wanted_task wanted = describe(state, *found.m_record, slot.m_task, *found.m_task);
+        const bool fits = choose_worker(state, room, wanted, "", now) != nullptr;
+        text += " others_away=" + std::to_string(others_away(*found.m_record, slot.m_task)) +
+                " may_be_away=" + std::to_string(step.m_max_unavailable) +
+                " at_work=" + (found.m_task->m_at_work ? "yes" : "no") +
+                " room=" + (fits ? "yes" : "no");
+    }
+    state.m_notes.push_back(std::move(text));
+}
+
+/// Moves lasting tasks off workers that leave or are to be kept free now or later, and other tasks
+/// too when the machine is needed soon.
 void evacuate(shard& state, time_point now)
 {
     std::optional<open_room> room;
     for (const auto& [id, owned] : state.m_workers) {
         held_worker& worker = *owned;
-        if ((!worker.m_cordoned && !worker.m_info.m_draining) || !worker.m_answered ||
-            worker.m_lapsed) {
+        if ((!worker.m_cordoned && !worker.m_info.m_draining && !worker.m_upkeep_due) ||
+            !worker.m_answered || worker.m_lapsed) {
             continue;
         }
         for (auto& [key, slot] : worker.m_runs) {
@@ -476,6 +508,11 @@
                 if (may_move(state, *room, worker, slot, now)) {
                     stop_run(state, worker, slot, false);
                 }
+                else if (worker.m_cordoned && !slot.m_stay_told &&
+                         now - worker.m_cordoned_since > stay_worth_a_note) {
+                    slot.m_stay_told = true;
+                    note_stay(state, *room, worker, slot, now);
+                }
             }
             else if (worker.m_cordoned && state.m_evacuate &&
                      now - worker.m_cordoned_since > evacuation_patience) {
@@ -512,16 +549,20 @@
            now - worker.m_heard_at < freshness;
 }
 
-void set_cordon(shard& state, const std::vector<machine_id>& machines, bool urgent, time_point now)
+void take_instructions(shard& state, const pool_instructions& what, time_point now)
 {
-    state.m_evacuate = urgent;
+    state.m_evacuate = what.m_urgent;
+    state.m_coming = what.m_coming;
+    state.m_coming_at = now;
+    const std::set<machine_id> cordoned(what.m_cordoned.begin(), what.m_cordoned.end());
+    const std::set<machine_id> due(what.m_upkeep_due.begin(), what.m_upkeep_due.end());
     for (const auto& [id, worker] : state.m_workers) {
-        const bool wanted =
-            std::find(machines.begin(), machines.end(), worker->m_info.m_machine) != machines.end();
+        const bool wanted = cordoned.contains(worker->m_info.m_machine);
         if (wanted && !worker->m_cordoned) {
             worker->m_cordoned_since = now;
         }
         worker->m_cordoned = wanted;
+        worker->m_upkeep_due = due.contains(worker->m_info.m_machine);
     }
 }
 
@@ -545,6 +586,7 @@
     if (!state.m_loaded || state.m_lost) {
         return;
     }
+    state.m_without_room = 0;
     if (state.m_may_start) {
         evacuate(state, now);
     }
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -60,7 +60,8 @@
 
 /// Moves the largest submissions out of a tier until those that stay can all meet their time
 /// with the cores there are, taken in the order of their times (Moore and Hodgson).
-void drop_overload(std::vector<ranked>& items, int from, int to, double cores, time_point now)
+void drop_overload(const shard& state, std::vector<ranked>& items, int from, int to, double cores,
+                   time_point now)
 {
     std::vector<ranked*> sorted;
     for (ranked& item : items) {
@@ -79,8 +80,7 @@
     for (ranked* item : sorted) {
         kept.push(item);
         work += item->m_left.m_core_ms;
-        const double room =
-            plannable_share * cores * std::max(0.0, to_milliseconds(item->m_until - now));
+        const double room = plannable_share * core_ms_until(state, cores, now, item->m_until);
         while (work > room && !kept.empty()) {
             ranked* largest = kept.top();
             kept.pop();
@@ -157,7 +157,7 @@
         }
         items.push_back(item);
     }
-    drop_overload(items, tier_on_time, tier_late, cores, now);
+    drop_overload(state, items, tier_on_time, tier_late, cores, now);
     std::sort(items.begin(), items.end(), [&](const ranked& left, const ranked& right) {
         if (left.m_tier != right.m_tier) {
             return left.m_tier < right.m_tier;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -112,6 +112,7 @@
     time_point m_next_stop{}; ///< When a stop is ordered again.
     milliseconds m_stop_pause{0};
     bool m_stop_answered = false;
+    bool m_stay_told = false; ///< That it cannot leave its worker was noted.
     time_point m_stop_answered_at{};
     time_point m_accepted_at{}; ///< When the answer to the start came.
     std::int32_t m_percent = -1;
@@ -149,9 +150,10 @@
     std::uint32_t m_failures_in_row = 0;
     time_point m_shunned_until{};
     milliseconds m_shun_time{0};
-    bool m_probing = false;  ///< One task tries the worker after it was shunned.
-    double m_slowness = 1;   ///< Run times over expected ones, smoothed.
-    bool m_cordoned = false; ///< Kept free for upkeep or a move.
+    bool m_probing = false;    ///< One task tries the worker after it was shunned.
+    double m_slowness = 1;     ///< Run times over expected ones, smoothed.
+    bool m_cordoned = false;   ///< Kept free for upkeep or a move.
+    bool m_upkeep_due = false; ///< Kept free later; lasting tasks leave it as far as they can.
     time_point m_cordoned_since{};
     bool m_gone = false; ///< The life is over; removed when nothing refers to it.
 };
@@ -237,9 +239,12 @@
     arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
-    bool m_evacuate = false;        ///< Cordoned machines are needed soon.
-    std::uint64_t m_starts = 0;     ///< Counts orders, for the metrics.
-    std::uint64_t m_candidates = 0; ///< Counts workers that were looked at to place tasks.
+    bool m_evacuate = false;          ///< Cordoned machines are needed soon.
+    std::uint32_t m_coming = 0;       ///< Machines on their way to the pool.
+    time_point m_coming_at{};         ///< When that was told.
+    std::uint32_t m_without_room = 0; ///< Lasting tasks that found no worker in the last plan.
+    std::uint64_t m_starts = 0;       ///< Counts orders, for the metrics.
+    std::uint64_t m_candidates = 0;   ///< Counts workers that were looked at to place tasks.
     std::uint64_t m_ends_done = 0;
     std::uint64_t m_ends_other = 0;
     bool m_order_changed = true; ///< The order of submissions has to be found again.
@@ -300,9 +305,16 @@
 /// Finds leases that ended, repeats stops, and starts what can be started.
 void plan(shard& state, time_point now, wall_time wall);
 
-/// Keeps machines free for upkeep or a move, and no others. When it is urgent, work that would go
-/// on for long is stopped and started elsewhere.
-void set_cordon(shard& state, const std::vector<machine_id>& machines, bool urgent, time_point now);
+/// What the holder of the machines' duty wants of a pool.
+struct pool_instructions {
+    std::vector<machine_id> m_cordoned;   ///< To be free of work now, for upkeep or a move.
+    std::vector<machine_id> m_upkeep_due; ///< To be free of work later.
+    bool m_urgent = false;                ///< Work that would go on for long is stopped.
+    std::uint32_t m_coming = 0;           ///< Machines on their way to the pool.
+};
+
+/// Keeps the machines free that are named, and no others.
+void take_instructions(shard& state, const pool_instructions& what, time_point now);
 
 /// True when nothing runs or can start on the machine's worker.
 bool is_clear(const shard& state, const machine_id& machine);
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -73,6 +73,12 @@
 /// Counts the work of a submission that arrives for the first time.
 void note_arrival(shard& state, const submission& what, time_point now);
 
+/// Core-milliseconds that a pool offers up to a moment, with the machines that are on their way.
+double core_ms_until(const shard& state, double cores, time_point now, time_point until);
+
+/// Time that the pool needs for an amount of work, in core-milliseconds.
+duration time_for_work(const shard& state, double core_ms, double cores, time_point now);
+
 /// Decides in which order submissions get room.
 void rank_submissions(shard& state, time_point now, wall_time wall);
 
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -55,7 +55,7 @@
         update_wave(world.m_wave, world.m_listings, upkeep_time, world.m_now);
         std::set<machine_id> clear;
         for (const auto& [pool, machines] :
-             machines_to_drain(world.m_wave, world.m_listings, world.m_now)) {
+             machines_to_drain(world.m_wave, world.m_listings, {}, world.m_now)) {
             clear.insert(machines.begin(), machines.end());
         }
         for (const machine_id& id : machines_to_order(world.m_wave, clear, world.m_now)) {
@@ -84,7 +84,7 @@
     update_wave(world.m_wave, world.m_listings, upkeep_time, world.m_now);
     std::set<machine_id> clear;
     for (const auto& [pool, machines] :
-         machines_to_drain(world.m_wave, world.m_listings, world.m_now)) {
+         machines_to_drain(world.m_wave, world.m_listings, {}, world.m_now)) {
         clear.insert(machines.begin(), machines.end());
     }
     const auto first = machines_to_order(world.m_wave, clear, world.m_now);
@@ -109,7 +109,7 @@
     for (const machine_listing& listing : world.m_listings) {
         clear.insert(listing.m_machine);
     }
-    machines_to_drain(world.m_wave, world.m_listings, world.m_now);
+    machines_to_drain(world.m_wave, world.m_listings, {}, world.m_now);
     // The order that may have been given is given again; no other fits beside the one that is down.
     CHECK(machines_to_order(world.m_wave, clear, world.m_now) ==
           std::vector<machine_id>{machine_id("m0")});
@@ -132,7 +132,7 @@
         world.m_now += milliseconds(100);
         update_wave(world.m_wave, world.m_listings, upkeep_time, world.m_now);
         for (const auto& [pool, machines] :
-             machines_to_drain(world.m_wave, world.m_listings, world.m_now)) {
+             machines_to_drain(world.m_wave, world.m_listings, {}, world.m_now)) {
             for (const machine_id& id :
                  machines_to_order(world.m_wave, {machines.begin(), machines.end()}, world.m_now)) {
                 CHECK(id == machine_id("m1"));
--- a/tests/schedule/load_patterns_test.cpp
+++ b/tests/schedule/load_patterns_test.cpp
@@ -240,6 +240,24 @@
     CHECK(state.m_candidates - before <= plans * 5 * 200);
 }
 
+// The turn of a queue has begun, and three times its pool is on the way to it.
+TEST_CASE("a pool that grows refuses less than one that stays as it is", "[load]")
+{
+    const bool grows = GENERATE(false, true);
+    virtual_pool pool(4, worker_size, 4);
+    pool.run_for(milliseconds(200));
+    int refused = 0;
+    for (int i = 0; i < 80; ++i) {
+        take_instructions(pool.newest().m_shard, {{}, {}, false, grows ? 12U : 0U}, pool.now());
+        const admission_result result = pool.submit(
+            "a" + std::to_string(i), make_submission({8}, {2000, 2000, 0}, milliseconds(800)));
+        refused += result.m_answer == admission::refused ? 1 : 0;
+        pool.run_for(milliseconds(5));
+    }
+    CAPTURE(grows, refused);
+    CHECK((refused == 0) == grows);
+}
+
 // Arrivals double every 0.7 s at the beginning of a turn, and a moved machine works after 2 s.
 TEST_CASE("a rising queue asks for machines before it needs them", "[load]")
 {
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -256,7 +256,7 @@
         }
     }
     REQUIRE(machines.size() == 3);
-    set_cordon(pool.newest().m_shard, machines, false, pool.now());
+    take_instructions(pool.newest().m_shard, {machines, {}, false, 0}, pool.now());
     std::size_t least_at_work = 3;
     for (int i = 0; i < 300; ++i) {
         pool.run_for(milliseconds(10));
@@ -275,6 +275,75 @@
     CHECK(pool.broken().empty());
 }
 
+// Before: a task that had just started counted as away, so that a second one of its step was
+// stopped beside it, and it came to work before the order reached it.
+TEST_CASE("a task that is coming to work is not stopped beside another one", "[schedule]")
+{
+    virtual_pool pool(6, worker_size, 21);
+    pool.run_for(milliseconds(200));
+    pool.submit("serve", lasting_submission(3, 1));
+    // Placed, and not at work yet.
+    pool.run_for(milliseconds(200));
+    std::vector<machine_id> machines;
+    for (const virtual_worker& worker : pool.m_workers) {
+        if (!worker.m_runs.empty()) {
+            machines.push_back(worker.m_listing.m_machine);
+        }
+    }
+    REQUIRE(machines.size() == 3);
+    take_instructions(pool.newest().m_shard, {machines, {}, false, 0}, pool.now());
+    std::size_t most_stopped = 0;
+    for (int i = 0; i < 300; ++i) {
+        pool.run_for(milliseconds(10));
+        std::size_t stopped = 0;
+        for (const virtual_worker& worker : pool.m_workers) {
+            for (const auto& [key, run] : worker.m_runs) {
+                stopped += run.m_stop_at != time_point{} ? 1 : 0;
+            }
+        }
+        most_stopped = std::max(most_stopped, stopped);
+    }
+    CHECK(most_stopped == 1);
+    for (const machine_id& machine : machines) {
+        CHECK(is_clear(pool.newest().m_shard, machine));
+    }
+    CHECK(pool.broken().empty());
+}
+
+TEST_CASE("lasting tasks leave machines whose upkeep is due, one at a time", "[schedule]")
+{
+    virtual_pool pool(8, worker_size, 22);
+    pool.run_for(milliseconds(200));
+    pool.submit("serve", lasting_submission(3, -1));
+    pool.run_for(milliseconds(1000));
+    std::vector<machine_id> machines;
+    for (const virtual_worker& worker : pool.m_workers) {
+        if (!worker.m_runs.empty()) {
+            machines.push_back(worker.m_listing.m_machine);
+        }
+    }
+    REQUIRE(machines.size() == 3);
+    take_instructions(pool.newest().m_shard, {{}, machines, false, 0}, pool.now());
+    std::size_t least_at_work = 3;
+    for (int i = 0; i < 400; ++i) {
+        pool.run_for(milliseconds(10));
+        std::size_t at_work = 0;
+        for (const virtual_worker& worker : pool.m_workers) {
+            for (const auto& [key, run] : worker.m_runs) {
+                at_work += run.m_done_ms > 300 && run.m_stop_at == time_point{} ? 1 : 0;
+            }
+        }
+        least_at_work = std::min(least_at_work, at_work);
+    }
+    CHECK(least_at_work == 2);
+    for (const virtual_worker& worker : pool.m_workers) {
+        const bool due = std::find(machines.begin(), machines.end(), worker.m_listing.m_machine) !=
+                         machines.end();
+        CHECK((!due || worker.m_runs.empty()));
+    }
+    CHECK(pool.broken().empty());
+}
+
 TEST_CASE("a worker that fails everything does not use up the attempts", "[schedule]")
 {
     virtual_pool pool(6, worker_size, 13);
