Count a failure once over owners; ask the advice service for tickets

The failure was in the log and not acknowledged, so the worker listed it again to the next owner, which counted it twice: the submission was shown as failed one attempt too early.

Change: the log's line of a failure names its run, and each run counts once. Test: a failure that was stored and not acknowledged (2 starts instead of 3 before).

Queues with a policy had their starts refused for want of a ticket. Owners now ask the advice service, one question at a time, about the workers with most room: for the steps that start now, then for those whose earlier steps run; tickets are renewed before they end and are dropped when a worker refuses them. Tests: a queue with a policy, a question without an answer, the codec.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -177,6 +177,7 @@
     around.m_workers = &m_client;
     around.m_store = &m_store;
     around.m_host = m_self.m_host;
+    around.m_advice_address = m_settings.m_advice_address;
     around.m_bounds = m_settings.m_bounds;
     around.m_proven_until = [this] { return m_registry.proven_until(); };
     around.m_store_away_for_all = [this] { return store_away_for_all(); };
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -5,6 +5,7 @@
 #include "core/result.h"
 #include "dispatch/ownership.h"
 #include "log/log.h"
+#include "platform/advice_calls.h"
 #include "platform/store_calls.h"
 #include "platform/worker_calls.h"
 
@@ -17,6 +18,9 @@
 constexpr milliseconds write_time{1500};
 constexpr milliseconds order_time{800};
 
+/// Time for a question to the advice service, which answers the calls of one host in turn.
+constexpr milliseconds advice_time{3000};
+
 /// Writes of the log follow each other at this distance; what comes meanwhile is written together.
 constexpr milliseconds write_interval{25};
 
@@ -198,6 +202,7 @@
             },
             asio::detached);
     }
+    ask_advice();
     flush_notes();
     if (!m_shard.m_pending.m_entries.empty() || !m_shard.m_pending.m_ends.empty()) {
         m_log_wake.cancel();
@@ -208,6 +213,34 @@
     }
 }
 
+void shard_owner::ask_advice()
+{
+    if (!m_around.m_advice_address) {
+        return;
+    }
+    std::optional<advice_request> request = next_advice(m_shard, read_boot_clock());
+    if (request) {
+        asio::co_spawn(
+            *m_around.m_context,
+            [self = shared_from_this(), what = std::move(*request)]() mutable {
+                return self->ask_advice(std::move(what));
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> shard_owner::ask_advice(advice_request request)
+{
+    const http_answer answer = co_await m_around.m_workers->call(
+        *m_around.m_advice_address, platform::encode_advice(request), advice_time);
+    const std::optional<advice_reply> reply = platform::decode_advice(answer);
+    if (!reply) {
+        log_warning("shard: no advice step=" + to_string(request.m_step) + ": " + last_reason());
+    }
+    take_advice(m_shard, request, reply, read_boot_clock());
+    wake();
+}
+
 asio::awaitable<void> shard_owner::carry_out(worker_order order)
 {
     const std::optional<ip_address> address = parse_address(order.m_address);
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -10,6 +10,7 @@
 #include "dispatch/retry_pause.h"
 #include "dispatch/store_link.h"
 #include "peer/host_message.h"
+#include "schedule/advice.h"
 #include "schedule/shard.h"
 
 namespace guavabay {
@@ -20,6 +21,7 @@
     http_client* m_workers = nullptr;
     store_link* m_store = nullptr;
     host_id m_host;
+    std::optional<ip_address> m_advice_address;
     schedule_bounds m_bounds;
     /// Until when this host's records are surely its own.
     std::function<time_point()> m_proven_until;
@@ -91,6 +93,8 @@
     void withdraw_from(std::vector<log_entry>& entries);
     asio::awaitable<void> follow_worker(worker_id worker);
     asio::awaitable<void> carry_out(worker_order order);
+    void ask_advice();
+    asio::awaitable<void> ask_advice(advice_request request);
     asio::awaitable<wait_result> wait_until_stored(submission_id id, milliseconds timeout);
 
     owner_surroundings m_around;
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "schedule/advice.h"
 #include "schedule/shard_steps.h"
 
 namespace guavabay {
@@ -53,6 +54,7 @@
     resources m_demand; ///< What is reserved.
     milliseconds m_expected{0};
     bool m_avoids_upkeep = false; ///< Not on workers that are to be kept free later.
+    bool m_needs_ticket = false;  ///< Only on workers that the advice service allows.
 };
 
 bool has_label(const worker_listing& info, const std::string& label)
@@ -138,6 +140,13 @@
             same_step_runs(worker, wanted.m_name) < step.m_max_per_worker);
 }
 
+bool has_ticket(const shard& state, const held_worker& worker, const wanted_task& wanted,
+                time_point now)
+{
+    return !wanted.m_needs_ticket ||
+           find_ticket(state, wanted.m_name, worker.m_info.m_id, now) != nullptr;
+}
+
 /// Cost of a worker for a task, lower is better, in run times.
 double cost_of(const shard& state, const held_worker& worker, const wanted_task& wanted)
 {
@@ -183,7 +192,7 @@
             continue;
         }
         any_room = true;
-        if (!may_run_on(worker, wanted)) {
+        if (!may_run_on(worker, wanted) || !has_ticket(state, worker, wanted, now)) {
             continue;
         }
         if ((wait_for_data && worker.m_info.m_rack.str() != step.m_data_rack) ||
@@ -232,6 +241,7 @@
     if (step.m_fills) {
         wanted.m_demand.m_cpu_millis = 0;
     }
+    wanted.m_needs_ticket = contract_of(state, record).m_needs_advice;
     return wanted;
 }
 
@@ -266,6 +276,10 @@
     order.m_run = run;
     order.m_spec = wanted.m_record->m_what.m_spec;
     order.m_checkpoint = task.m_checkpoint;
+    if (wanted.m_needs_ticket) {
+        const std::string* ticket = find_ticket(state, wanted.m_name, worker.m_info.m_id, now);
+        order.m_ticket = ticket != nullptr ? *ticket : std::string();
+    }
     order.m_deadline_ms = worker_clock(worker, now) + state.m_bounds.m_worker_lease.count();
     extend_lease(worker, order.m_deadline_ms);
     state.m_orders.push_back(std::move(order));
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "schedule/advice.h"
 #include "schedule/shard_steps.h"
 
 namespace guavabay {
@@ -162,10 +163,12 @@
     if (step.m_lasting) {
         return;
     }
-    ++task.m_failures;
-    state.m_pending.m_entries.emplace_back(log_task_ended{end.m_task, false});
-    if (task.m_failures >= contract_of(state, record).m_max_attempts &&
-        task.m_phase != task_phase::done) {
+    if (!count_failure(task, end.m_run)) {
+        return;
+    }
+    state.m_pending.m_entries.emplace_back(log_task_ended{end.m_task, false, end.m_run});
+    const auto failures = static_cast<std::int32_t>(task.m_failed_runs.size());
+    if (failures >= contract_of(state, record).m_max_attempts && task.m_phase != task_phase::done) {
         close_submission(state, record, submission_state::failed, wall);
     }
 }
@@ -258,6 +261,16 @@
     state.m_order_changed = true;
 }
 
+bool count_failure(scheduled_task& task, run_number run)
+{
+    if (std::find(task.m_failed_runs.begin(), task.m_failed_runs.end(), run) !=
+        task.m_failed_runs.end()) {
+        return false;
+    }
+    task.m_failed_runs.push_back(run);
+    return true;
+}
+
 void free_slot(shard& state, held_worker& worker, const run_slot& slot, time_point not_before)
 {
     const found_task found = find_task(state, slot.m_task);
@@ -307,7 +320,7 @@
     task.m_worker = nullptr;
     task.m_checkpoint.clear();
     --occurrence.m_open[name.m_step];
-    state.m_pending.m_entries.emplace_back(log_task_ended{name, true});
+    state.m_pending.m_entries.emplace_back(log_task_ended{name, true, {}});
     state.m_order_changed = true;
     unblock_steps(record, occurrence);
     occurrence.m_done = std::all_of(occurrence.m_open.begin(), occurrence.m_open.end(),
@@ -341,6 +354,7 @@
             }
         }
     }
+    forget_advice(state, record.m_id);
     record.m_final_decided = true;
     record.m_final = final_state;
     record.m_closed_ms = unix_ms(wall);
@@ -545,6 +559,9 @@
     case order_outcome::refused_old:
         state.m_next_run = std::max(state.m_next_run, order.m_run.get()) + 1;
         break;
+    case order_outcome::refused_ticket:
+        drop_ticket(state, order.m_task, order.m_worker);
+        break;
     case order_outcome::refused_busy:
         blame_worker(state, worker, now);
         break;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -67,7 +67,7 @@
     }
     record.m_started = true;
     if (!entry.m_done) {
-        ++task.m_task->m_failures;
+        count_failure(*task.m_task, entry.m_run);
         return;
     }
     if (task.m_task->m_phase != task_phase::done) {
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -55,8 +55,8 @@
 struct scheduled_task {
     task_phase m_phase = task_phase::blocked;
     bool m_inherited = false; ///< A former owner may have started it on a worker not heard yet.
-    std::uint16_t m_failures = 0;
-    held_worker* m_worker = nullptr; ///< Where it is placed.
+    std::vector<run_number> m_failed_runs; ///< Each counts as one attempt.
+    held_worker* m_worker = nullptr;       ///< Where it is placed.
     run_number m_run;
     std::string m_checkpoint;
     worker_id m_failed_on;      ///< Worker of the last failure.
@@ -188,6 +188,18 @@
     std::vector<std::pair<worker_id, std::int64_t>> m_ends; ///< Ends that it makes durable.
 };
 
+/// A proof that a step may run on a worker, and until when it holds.
+struct held_ticket {
+    std::string m_text;
+    time_point m_until{};
+};
+
+/// What the advice service said of a step.
+struct step_advice {
+    std::map<worker_id, held_ticket> m_tickets;
+    std::set<worker_id> m_denied; ///< Workers that may not run it, for the life of the step.
+};
+
 /// Learned ratio of run time to estimate for the tasks of a queue.
 struct duration_model {
     double m_ratio = 1;
@@ -239,6 +251,9 @@
     arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
+    std::map<task_name, step_advice> m_advice; ///< By step; the index of the name is zero.
+    bool m_advice_pending = false;             ///< A question is under way.
+    time_point m_next_advice{};
     bool m_evacuate = false;          ///< Cordoned machines are needed soon.
     std::uint32_t m_coming = 0;       ///< Machines on their way to the pool.
     time_point m_coming_at{};         ///< When that was told.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -36,6 +36,9 @@
 /// Gives a placed task back to those that wait.
 void make_ready(shard& state, scheduled_task& task, time_point not_before);
 
+/// Counts a failed run of a task, once however often it is told; true for the first time.
+bool count_failure(scheduled_task& task, run_number run);
+
 /// Removes a run from its worker and its task, which is ready again.
 void free_slot(shard& state, held_worker& worker, const run_slot& slot, time_point not_before);
 
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -88,7 +88,9 @@
 template <typename Archive>
 void serialize(Archive& archive, log_task_ended& value)
 {
-    archive(value.m_task, value.m_done);
+    std::int64_t run = value.m_run.get();
+    archive(value.m_task, value.m_done, run);
+    value.m_run = run_number(run);
 }
 
 template <typename Archive>
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -27,6 +27,7 @@
 struct log_task_ended {
     task_name m_task;
     bool m_done = false;
+    run_number m_run; ///< Of a failure: a later owner is told of it again until it is acknowledged.
 };
 
 /// A submission reached its final state.
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -112,7 +112,7 @@
     what.m_steps[1].m_estimate = std::chrono::milliseconds(700);
     const std::vector<log_entry> entries{
         log_accepted{submission_id("a"), queue_id("q"), 5, what},
-        log_task_ended{{submission_id("a"), 0, 1, 2}, true},
+        log_task_ended{{submission_id("a"), 0, 1, 2}, true, run_number(7)},
         log_closed{submission_id("a"), submission_state::failed, 9}, log_released{{worker_id("w")}},
         log_taken{3}};
     const auto read = decode_log(encode_log(entries));
@@ -120,6 +120,7 @@
     REQUIRE(read->size() == entries.size());
     CHECK((std::get<log_accepted>(read->at(0)).m_submission == what));
     CHECK(std::get<log_task_ended>(read->at(1)).m_task.m_index == 2);
+    CHECK(std::get<log_task_ended>(read->at(1)).m_run == run_number(7));
     CHECK_FALSE(decode_log("").has_value());
     CHECK_FALSE(decode_log("\x09xyz").has_value());
     CHECK((decode_submission_bytes(encode_submission(what)) == what));
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/result.h"
 #include "net/base64.h"
+#include "platform/advice_calls.h"
 #include "platform/caller_calls.h"
 #include "platform/machine_calls.h"
 #include "platform/operator_records.h"
@@ -271,6 +272,40 @@
     CHECK(decode_machine_answer({call_progress::unknown, 0, ""}) == machine_outcome::unknown);
 }
 
+TEST_CASE("a question to the advice service and its answers", "[platform]")
+{
+    const http_call call = encode_advice(
+        {{submission_id("0123456789abcdef"), 2, 1, 0}, {worker_id("i-1"), worker_id("i-2")}});
+    CHECK(call.m_method == "POST");
+    CHECK(call.m_target == "/v1/advise");
+    const boost::json::object body = boost::json::parse(call.m_body).as_object();
+    CHECK(body.at("step") == "0123456789abcdef.2.1");
+    CHECK(body.at("workers") == boost::json::array({"i-1", "i-2"}));
+
+    const auto reply = decode_advice(
+        answered(200, R"({"good":[["i-2","t-9",1]],"validity-ms":3000,"later-field":{}})"));
+    REQUIRE(reply);
+    REQUIRE(reply->m_good.size() == 1);
+    CHECK(reply->m_good.front().m_worker == worker_id("i-2"));
+    CHECK(reply->m_good.front().m_ticket == "t-9");
+    CHECK(reply->m_validity == milliseconds(3000));
+    CHECK(decode_advice(answered(200, R"({"good":[]})")));
+    for (const auto& [status, text] :
+         std::vector<std::pair<unsigned, std::string>>{{429, ""},
+                                                       {200, ""},
+                                                       {200, "[]"},
+                                                       {200, "{}"},
+                                                       {200, R"({"good":{}})"},
+                                                       {200, R"({"good":[["i-1"]]})"},
+                                                       {200, R"({"good":[["i-1",5]]})"},
+                                                       {200, R"({"good":["i-1"]})"}}) {
+        CAPTURE(status, text);
+        CHECK_FALSE(decode_advice(answered(status, text)));
+        CHECK_FALSE(last_reason().empty());
+    }
+    CHECK_FALSE(decode_advice({call_progress::unknown, 0, ""}));
+}
+
 TEST_CASE("spoiled input gives an error or a value and never harm", "[platform]")
 {
     std::mt19937 random(20261204);
@@ -286,6 +321,7 @@
                             random));
         decode_range(
             answered(200, spoil(R"({"items":[{"key":"k","value":"YQ=="}],"as-of":1})", random)));
+        decode_advice(answered(200, spoil(R"({"good":[["i-1","t"]],"validity-ms":3000})", random)));
         decode_machine_list(answered(
             200, spoil(R"({"machines":[{"machine":"m","state":"up","labels":["a"]}]})", random)));
     }
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -225,6 +225,40 @@
     CHECK(pool.broken().empty());
 }
 
+// Before: the worker listed a failure again to the next owner, which had it from the log already,
+// and the submission failed one attempt too early.
+TEST_CASE("a failure that was stored and not acknowledged counts once", "[schedule]")
+{
+    virtual_pool pool(4, worker_size, 25);
+    pool.run_for(milliseconds(200));
+    pool.m_doomed.insert("a");
+    pool.submit("a", make_submission({1}, small_task, milliseconds(300)));
+    const auto is_failure = [](const log_entry& entry) {
+        const auto* ended = std::get_if<log_task_ended>(&entry);
+        return ended != nullptr && !ended->m_done;
+    };
+    const auto stored_failures = [&] {
+        std::ptrdiff_t count = 0;
+        for (const std::vector<log_entry>& batch : pool.m_log) {
+            count += std::count_if(batch.begin(), batch.end(), is_failure);
+        }
+        return count;
+    };
+    while (stored_failures() == 0 && pool.now() < time_point(seconds(1003))) {
+        pool.run_for(milliseconds(1));
+    }
+    REQUIRE(stored_failures() == 1);
+    // The owner is lost before it acknowledges the end.
+    pool.newest().m_alive = false;
+    pool.change_owner();
+    pool.run_for(milliseconds(12000));
+    CHECK(pool.state("a") == submission_state::failed);
+    REQUIRE(pool.m_starts.size() == 1);
+    CHECK(pool.m_starts.begin()->second == 3);
+    CHECK(stored_failures() == 3);
+    CHECK(pool.broken().empty());
+}
+
 TEST_CASE("nothing of a cancelled submission starts or stays", "[schedule]")
 {
     virtual_pool pool(2, worker_size, 11);
@@ -344,6 +378,48 @@
     CHECK(pool.broken().empty());
 }
 
+TEST_CASE("a queue with a policy starts tasks only where the advice service allows", "[schedule]")
+{
+    virtual_pool pool(12, worker_size, 23);
+    pool.m_contract.m_needs_advice = true;
+    pool.m_contract.m_advice_validity = milliseconds(900);
+    set_queues(pool.newest().m_shard, {pool.m_contract});
+    for (std::size_t i = 0; i < pool.m_workers.size(); ++i) {
+        pool.m_workers[i].m_allowed = i % 3 == 0;
+    }
+    pool.run_for(milliseconds(200));
+    for (int i = 0; i < 6; ++i) {
+        pool.submit("a" + std::to_string(i),
+                    make_submission({6, 4}, small_task, milliseconds(500)));
+    }
+    // Tickets end meanwhile, and the second steps need others.
+    pool.run_for(milliseconds(9000));
+    for (int i = 0; i < 6; ++i) {
+        CHECK(pool.state("a" + std::to_string(i)) == submission_state::succeeded);
+    }
+    CHECK(pool.m_refused_tickets == 0);
+    CHECK(pool.newest().m_shard.m_advice.empty());
+    CHECK(pool.broken().empty());
+}
+
+TEST_CASE("a question to the advice service without an answer is asked again", "[schedule]")
+{
+    virtual_pool pool(4, worker_size, 24);
+    pool.m_contract.m_needs_advice = true;
+    pool.m_contract.m_advice_validity = milliseconds(900);
+    set_queues(pool.newest().m_shard, {pool.m_contract});
+    pool.run_for(milliseconds(200));
+    pool.submit("a", make_submission({2}, small_task, milliseconds(300)));
+    pool.run_for(milliseconds(60));
+    REQUIRE(pool.newest().m_asked);
+    take_advice(pool.newest().m_shard, *pool.newest().m_asked, std::nullopt, pool.now());
+    pool.newest().m_asked.reset();
+    pool.run_for(milliseconds(100));
+    CHECK(pool.m_starts.empty());
+    pool.run_for(milliseconds(2000));
+    CHECK(pool.state("a") == submission_state::succeeded);
+}
+
 TEST_CASE("a worker that fails everything does not use up the attempts", "[schedule]")
 {
     virtual_pool pool(6, worker_size, 13);
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -10,6 +10,8 @@
 constexpr milliseconds hold_interval{40};
 constexpr milliseconds write_interval{20};
 constexpr milliseconds stop_time{150};
+constexpr milliseconds advice_decision{40};
+constexpr milliseconds advice_period{10};
 constexpr std::size_t workers_per_rack = 4;
 
 wall_time wall_at(time_point now)
@@ -160,6 +162,13 @@
         if (over != worker.m_newest_over.end() && order.m_run <= over->second) {
             return order_outcome::refused_old;
         }
+        if (m_contract.m_needs_advice) {
+            const auto ticket = m_tickets.find(order.m_ticket);
+            if (ticket == m_tickets.end() || ticket->second < m_now) {
+                ++m_refused_tickets;
+                return order_outcome::refused_ticket;
+            }
+        }
         if (order.m_deadline_ms <= clock_of(worker)) {
             return order_outcome::refused_late;
         }
@@ -346,6 +355,33 @@
     }
 }
 
+void virtual_pool::advise(std::size_t index)
+{
+    virtual_owner& owner = *m_owners[index];
+    if (owner.m_asked && m_now >= owner.m_advice_at) {
+        advice_reply reply;
+        reply.m_validity = m_contract.m_advice_validity;
+        for (const worker_id& id : owner.m_asked->m_workers) {
+            for (const virtual_worker& worker : m_workers) {
+                if (worker.m_listing.m_id == id && worker.m_allowed) {
+                    const std::string ticket = to_string(owner.m_asked->m_step) + "/" + id.str();
+                    m_tickets[ticket] = m_now + reply.m_validity;
+                    reply.m_good.push_back({id, ticket});
+                }
+            }
+        }
+        take_advice(owner.m_shard, *owner.m_asked, reply, m_now);
+        owner.m_asked.reset();
+    }
+    if (!owner.m_asked) {
+        owner.m_asked = next_advice(owner.m_shard, m_now);
+        if (owner.m_asked) {
+            owner.m_advice_at =
+                m_now + advice_decision + advice_period * owner.m_asked->m_workers.size();
+        }
+    }
+}
+
 void virtual_pool::run_for(milliseconds length)
 {
     const time_point end = m_now + length;
@@ -361,6 +397,7 @@
                 owner.m_next_hold = m_now + hold_interval;
                 hold(i);
                 give_orders(i);
+                advise(i);
             }
             if (m_now >= owner.m_next_write) {
                 owner.m_next_write = m_now + write_interval;
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "schedule/advice.h"
 #include "schedule/shard.h"
 
 namespace guavabay {
@@ -33,6 +34,7 @@
     double m_speed = 1;
     double m_clock_speed = 1;   ///< Of its own clock; from 0.98 to 1.
     double m_failing_share = 0; ///< Of the runs that it starts.
+    bool m_allowed = true;      ///< By the policy that the advice service knows.
     double m_late_share = 0;    ///< Of the orders that get no answer and are carried out late.
     std::set<std::size_t> m_cut_owners;
 };
@@ -53,6 +55,8 @@
     bool m_refused = false; ///< A write of it failed at the guard.
     time_point m_next_write{};
     time_point m_next_hold{};
+    std::optional<advice_request> m_asked; ///< A question to the advice service.
+    time_point m_advice_at{};              ///< When it is answered.
 };
 
 /// A pool with its workers, its log in a store, and the owners that follow each other. Every start
@@ -95,6 +99,7 @@
     std::map<task_name, int> m_failed_acknowledged;
     std::set<std::string> m_doomed; ///< Submissions of which every run fails.
     std::set<std::string> m_cancelled;
+    int m_refused_tickets = 0;   ///< Starts that carried none that holds.
     double m_duration_noise = 0; ///< Spread of the durations around the estimates.
 
     /// Checks one start; also called by tests with a doctored history.
@@ -108,6 +113,7 @@
     void hold(std::size_t owner);
     void write(std::size_t owner);
     void give_orders(std::size_t owner);
+    void advise(std::size_t owner);
     [[nodiscard]] std::int64_t clock_of(const virtual_worker& worker) const;
 
     time_point m_now{seconds(1000)};
@@ -115,6 +121,7 @@
     std::vector<late_order> m_late;
     std::vector<std::string> m_broken;
     std::map<std::string, submission> m_submitted;
+    std::map<std::string, time_point> m_tickets; ///< Until when each holds.
 };
 
 /// A submission of steps that follow each other.
