Split placement: the choice of a worker and evacuation stand alone

The choice of a worker (what room there is, who may run a task, at what cost) is worker_choice.cpp, moving work off workers is evacuation.cpp; starts, the review of runs and the plan stay.

--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -82,6 +82,10 @@
 /// Time that the pool needs for an amount of work, in core-milliseconds.
 duration time_for_work(const shard& state, double core_ms, double cores, time_point now);
 
+/// Moves lasting tasks off workers that leave or are to be kept free now or later, and other tasks
+/// too when the machine is needed soon.
+void evacuate(shard& state, time_point now);
+
 /// Decides in which order submissions get room.
 void rank_submissions(shard& state, time_point now, wall_time wall);
 
