--- a/src/app/serve_settings.cpp
+++ b/src/app/serve_settings.cpp
@@ -11,38 +11,6 @@
 
 constexpr std::size_t least_secret_length = 16;
 
-setting text_setting(std::string name, std::string fallback, std::string help)
-{
-    return {std::move(name),
-            setting_kind::text,
-            std::move(fallback),
-            false,
-            0,
-            0,
-            "",
-            std::move(help),
-            {}};
-}
-
-setting required_setting(std::string name, setting_kind kind, std::string help)
-{
-    return {std::move(name), kind, "", true, 0, 0, "", std::move(help), {}};
-}
-
-setting number_setting(std::string name, std::int64_t fallback, std::int64_t low, std::int64_t high,
-                       std::string unit, std::string help)
-{
-    return {std::move(name),
-            setting_kind::number,
-            std::to_string(fallback),
-            false,
-            low,
-            high,
-            std::move(unit),
-            std::move(help),
-            {}};
-}
-
 /// Reads a list such as 1:secret,2:other; empty with a reason when malformed.
 std::optional<peer_keys> parse_keys(const std::vector<std::string>& parts)
 {
--- a/src/app/setting.cpp
+++ b/src/app/setting.cpp
@@ -80,6 +80,38 @@
 
 } // namespace
 
+setting text_setting(std::string name, std::string fallback, std::string help)
+{
+    return {std::move(name),
+            setting_kind::text,
+            std::move(fallback),
+            false,
+            0,
+            0,
+            "",
+            std::move(help),
+            {}};
+}
+
+setting required_setting(std::string name, setting_kind kind, std::string help)
+{
+    return {std::move(name), kind, "", true, 0, 0, "", std::move(help), {}};
+}
+
+setting number_setting(std::string name, std::int64_t fallback, std::int64_t low, std::int64_t high,
+                       std::string unit, std::string help)
+{
+    return {std::move(name),
+            setting_kind::number,
+            std::to_string(fallback),
+            false,
+            low,
+            high,
+            std::move(unit),
+            std::move(help),
+            {}};
+}
+
 const std::string& setting_values::text(const std::string& name) const
 {
     const auto found = m_values.find(name);
--- a/src/app/setting.h
+++ b/src/app/setting.h
@@ -26,6 +26,16 @@
     std::vector<std::string> m_words; ///< Allowed words of a word setting.
 };
 
+/// Declares a setting of any text that may be left out.
+setting text_setting(std::string name, std::string fallback, std::string help);
+
+/// Declares a setting that has to be given.
+setting required_setting(std::string name, setting_kind kind, std::string help);
+
+/// Declares a whole number in a range, both ends allowed.
+setting number_setting(std::string name, std::int64_t fallback, std::int64_t low, std::int64_t high,
+                       std::string unit, std::string help);
+
 /// The values of all settings of a command, checked.
 class setting_values {
 public:
--- a/src/app/task_command.cpp
+++ b/src/app/task_command.cpp
@@ -14,11 +14,6 @@
 
 namespace {
 
-setting text_setting(std::string name, std::string help)
-{
-    return {std::move(name), setting_kind::text, "", false, 0, 0, "", std::move(help), {}};
-}
-
 setting amount_setting(std::string name, std::string fallback, std::string unit, std::string help)
 {
     constexpr std::int64_t most = 1'000'000'000;
@@ -36,9 +31,9 @@
 std::vector<setting> task_settings()
 {
     std::vector<setting> settings = declare_operator_settings();
-    settings.push_back(text_setting("pool", "Pool on whose hosts the tasks run."));
-    settings.push_back(text_setting("customer", "Customer under whose contract they run."));
-    settings.push_back(text_setting("kind", "Kind of work; tasks of one kind use alike."));
+    settings.push_back(text_setting("pool", "", "Pool on whose hosts the tasks run."));
+    settings.push_back(text_setting("customer", "", "Customer under whose contract they run."));
+    settings.push_back(text_setting("kind", "", "Kind of work; tasks of one kind use alike."));
     settings.push_back(
         amount_setting("cpu-millis", "1000", "1/1000 core", "Cores that a task needs."));
     settings.push_back(amount_setting("memory-mb", "1000", "MB", "Memory that a task needs."));
--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -3,15 +3,13 @@
 #include <charconv>
 
 #include "log/log.h"
+#include "net/http_status.h"
 #include "platform/names.h"
 
 namespace guavabay {
 
 namespace {
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_too_large = 413;
-constexpr unsigned status_header_too_large = 431;
 constexpr milliseconds write_time{5000};
 
 milliseconds patience_of(const http::request<http::string_body>& request)
@@ -50,16 +48,16 @@
 unsigned status_of(const error_code& error)
 {
     if (error == http::error::body_limit) {
-        return status_too_large;
+        return http_status::too_large;
     }
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return status_header_too_large;
+        return http_status::header_too_large;
     }
     const bool ended = error == http::error::end_of_stream ||
                        error == http::error::partial_message || error == beast::error::timeout ||
                        error.category() == asio::error::get_system_category() ||
                        error.category() == asio::error::get_misc_category();
-    return ended ? 0 : status_bad_request;
+    return ended ? 0 : http_status::bad_request;
 }
 
 } // namespace
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "core/result.h"
 #include "log/log.h"
+#include "net/http_status.h"
 #include "platform/caller_calls.h"
 #include "platform/operator_records.h"
 #include "platform/store_calls.h"
@@ -43,14 +44,6 @@
 /// A host with many more shards than another gives one away after it saw that for this long.
 constexpr milliseconds balance_interval{2500};
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_method = 405;
-constexpr unsigned status_gone = 410;
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_unavailable = 503;
-constexpr unsigned status_unknown = 504;
 constexpr std::uint32_t retry_soon_s = 1;
 
 std::uint64_t make_incarnation()
@@ -381,7 +374,7 @@
 {
     (void)request;
     const bool ready = m_config.has_value() && !m_stopping;
-    co_return make_answer(ready ? status_ok : status_unavailable);
+    co_return make_answer(ready ? http_status::ok : http_status::unavailable);
 }
 
 asio::awaitable<owner_reply> dispatcher::answer_as_owner(service_id service, host_message message)
@@ -466,7 +459,7 @@
 {
     const std::optional<submission> what = platform::decode_submission(request.m_body);
     if (!what) {
-        co_return make_answer(status_bad_request, R"({"error":")" + last_reason() + "\"}");
+        co_return make_answer(http_status::bad_request, R"({"error":")" + last_reason() + "\"}");
     }
     const service_id service = route.m_contract.m_service;
     submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*what)};
@@ -475,22 +468,23 @@
         co_await ask_owner(service, std::move(message), call_patience(request.m_patience));
     switch (reply.m_answer) {
     case owner_answer::done:
-        co_return make_answer(status_ok, "{}");
+        co_return make_answer(http_status::ok, "{}");
     case owner_answer::refused:
-        co_return make_answer(status_too_many, {}, std::max(retry_soon_s, reply.m_retry_after_s));
+        co_return make_answer(http_status::too_many_requests, {},
+                              std::max(retry_soon_s, reply.m_retry_after_s));
     case owner_answer::not_owner:
     case owner_answer::none:
     case owner_answer::store_away:
         log_info("dispatch: submission not taken id=" + id.str() + " service=" + service.str() +
                  " answer=" + std::to_string(static_cast<int>(reply.m_answer)));
-        co_return make_answer(status_unavailable, {},
+        co_return make_answer(http_status::unavailable, {},
                               std::max(retry_soon_s, reply.m_retry_after_s));
     case owner_answer::unknown:
         break;
     }
     log_info("dispatch: submission's outcome is unknown id=" + id.str() +
              " service=" + service.str());
-    co_return make_answer(status_unknown);
+    co_return make_answer(http_status::gateway_timeout);
 }
 
 asio::awaitable<caller_answer> dispatcher::measure_caller(caller_request request)
@@ -508,9 +502,9 @@
 asio::awaitable<caller_answer> dispatcher::answer_metrics(caller_request request)
 {
     if (request.m_path != "/metrics") {
-        co_return make_answer(status_not_found);
+        co_return make_answer(http_status::not_found);
     }
-    caller_answer answer = make_answer(status_ok, describe_metrics());
+    caller_answer answer = make_answer(http_status::ok, describe_metrics());
     answer.m_content_type = "text/plain; version=0.0.4";
     co_return answer;
 }
@@ -544,12 +538,12 @@
 asio::awaitable<caller_answer> dispatcher::answer_caller(caller_request request)
 {
     if (!m_config) {
-        co_return make_answer(status_unavailable, {}, retry_soon_s);
+        co_return make_answer(http_status::unavailable, {}, retry_soon_s);
     }
     const std::string path = request.m_path.substr(0, request.m_path.find('?'));
     const queue_route* found = find_route(*m_config, request.m_host, path);
     if (found == nullptr) {
-        co_return make_answer(status_not_found);
+        co_return make_answer(http_status::not_found);
     }
     const queue_route route = *found;
     const std::string rest = path.substr(route.m_path.size());
@@ -557,17 +551,17 @@
     const milliseconds patience = call_patience(request.m_patience);
     if (rest.empty()) {
         if (request.m_method != "GET") {
-            co_return make_answer(status_method);
+            co_return make_answer(http_status::method_not_allowed);
         }
         host_message message(count_request{service, route.m_contract.m_queue});
         const owner_reply reply = co_await ask_owner(service, std::move(message), patience);
         if (reply.m_answer != owner_answer::done) {
-            co_return make_answer(status_unavailable, {}, retry_soon_s);
+            co_return make_answer(http_status::unavailable, {}, retry_soon_s);
         }
-        co_return make_answer(status_ok, platform::encode_pending_count(reply.m_count));
+        co_return make_answer(http_status::ok, platform::encode_pending_count(reply.m_count));
     }
     if (!platform::is_submission_id(rest)) {
-        co_return make_answer(status_not_found);
+        co_return make_answer(http_status::not_found);
     }
     const submission_id id(rest);
     if (request.m_method == "POST") {
@@ -577,27 +571,27 @@
         host_message message(state_request{service, id});
         const owner_reply reply = co_await ask_owner(service, std::move(message), patience);
         if (reply.m_answer == owner_answer::done) {
-            co_return make_answer(status_ok, platform::encode_state(reply.m_state));
+            co_return make_answer(http_status::ok, platform::encode_state(reply.m_state));
         }
         if (reply.m_answer == owner_answer::none) {
-            co_return make_answer(status_gone);
+            co_return make_answer(http_status::gone);
         }
-        co_return make_answer(status_unavailable, {}, retry_soon_s);
+        co_return make_answer(http_status::unavailable, {}, retry_soon_s);
     }
     if (request.m_method == "DELETE") {
         host_message message(cancel_request{service, id});
         const owner_reply reply = co_await ask_owner(service, std::move(message), patience);
         if (reply.m_answer == owner_answer::done) {
-            co_return make_answer(status_ok, "{}");
+            co_return make_answer(http_status::ok, "{}");
         }
         if (reply.m_answer == owner_answer::none) {
-            co_return make_answer(status_gone);
+            co_return make_answer(http_status::gone);
         }
         const bool unknown = reply.m_answer == owner_answer::unknown;
-        co_return make_answer(unknown ? status_unknown : status_unavailable, {},
+        co_return make_answer(unknown ? http_status::gateway_timeout : http_status::unavailable, {},
                               unknown ? 0 : retry_soon_s);
     }
-    co_return make_answer(status_method);
+    co_return make_answer(http_status::method_not_allowed);
 }
 
 asio::awaitable<host_message> dispatcher::relay(relay_request request)
--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -23,33 +23,6 @@
 /// each half second, 3 Mbit/s, with 0.1 cores.
 constexpr double megabits_per_core = 40;
 
-setting number(std::string name, std::int64_t fallback, std::int64_t low, std::int64_t high,
-               std::string unit, std::string help)
-{
-    return {std::move(name),
-            setting_kind::number,
-            std::to_string(fallback),
-            false,
-            low,
-            high,
-            std::move(unit),
-            std::move(help),
-            {}};
-}
-
-setting text(std::string name, std::string fallback, std::string help)
-{
-    return {std::move(name),
-            setting_kind::text,
-            std::move(fallback),
-            false,
-            0,
-            0,
-            "",
-            std::move(help),
-            {}};
-}
-
 setting address(std::string name, bool required, std::string help)
 {
     return {std::move(name), setting_kind::address, "", required, 0, 0, "", std::move(help), {}};
@@ -96,7 +69,7 @@
 std::vector<setting> declare_host_settings()
 {
     return {
-        text("settings", "", "File with these settings, a JSON object of names and texts."),
+        text_setting("settings", "", "File with these settings, a JSON object of names and texts."),
         {"host", setting_kind::text, "", true, 0, 0, "", "Name of this entry host.", {}},
         {"zone", setting_kind::text, "", true, 0, 0, "", "Availability zone of this host.", {}},
         address("caller-address", true, "Where callers connect."),
@@ -108,26 +81,33 @@
         address_list("metrics-address",
                      "Where metrics are read, under /metrics; none serves none."),
         address_list("seeds", "Peer addresses of some other entry hosts; they may be stale."),
-        number("least-lease-ms", 1000, 100, 600000, "ms", "Shortest lease that the store grants."),
-        text("grace-seconds", "6", "Time between the order to stop and the kill, 1 to 600 s."),
-        number("longest-hold-ms", 10000, 500, 600000, "ms", "Longest lease that a worker accepts."),
-        number("stop-ms", 900, 1, 60000, "ms", "Longest time that a worker takes for a stop."),
-        number("drain-ms", 2000, 1, 60000, "ms",
-               "Time after which a draining worker gets no start."),
-        number("notice-ms", 4500, 1, 600000, "ms",
-               "Time after which an absence counts for availability."),
-        number("status-seconds", 120, 1, 86400, "s", "How long a final state is told."),
-        number("early-ms", 250, 0, 60000, "ms", "How early a repeated submission may start."),
-        number("impact-ms", 4000, 1, 600000, "ms", "How long a tail may stay over its target."),
-        number("pace-ms", 100, 1, 60000, "ms", "Time until a changed pace is in effect."),
-        text("remote-factor", "1.5", "Slow-down of a task away from its data, 1 to 100."),
-        text("upkeep-seconds", "2", "How long the upkeep of a machine takes, 0 to 3600 s."),
-        text("move-seconds", "1.5", "How long a move of a machine takes, 0 to 3600 s."),
-        text("machine-orders-per-second", "16",
-             "Orders for machines that the platform takes, 0.1 to 10000 a second."),
-        text("processor-share", "1", "Cores that this host may use, 0.001 to 1024."),
-        text("processor-speed", "1", "Speed of a core relative to others, 0.01 to 1024."),
-        text("link-megabits", "1000", "Bandwidth of this host's link, 0.01 to 1000000 Mbit/s."),
+        number_setting("least-lease-ms", 1000, 100, 600000, "ms",
+                       "Shortest lease that the store grants."),
+        text_setting("grace-seconds", "6",
+                     "Time between the order to stop and the kill, 1 to 600 s."),
+        number_setting("longest-hold-ms", 10000, 500, 600000, "ms",
+                       "Longest lease that a worker accepts."),
+        number_setting("stop-ms", 900, 1, 60000, "ms",
+                       "Longest time that a worker takes for a stop."),
+        number_setting("drain-ms", 2000, 1, 60000, "ms",
+                       "Time after which a draining worker gets no start."),
+        number_setting("notice-ms", 4500, 1, 600000, "ms",
+                       "Time after which an absence counts for availability."),
+        number_setting("status-seconds", 120, 1, 86400, "s", "How long a final state is told."),
+        number_setting("early-ms", 250, 0, 60000, "ms",
+                       "How early a repeated submission may start."),
+        number_setting("impact-ms", 4000, 1, 600000, "ms",
+                       "How long a tail may stay over its target."),
+        number_setting("pace-ms", 100, 1, 60000, "ms", "Time until a changed pace is in effect."),
+        text_setting("remote-factor", "1.5", "Slow-down of a task away from its data, 1 to 100."),
+        text_setting("upkeep-seconds", "2", "How long the upkeep of a machine takes, 0 to 3600 s."),
+        text_setting("move-seconds", "1.5", "How long a move of a machine takes, 0 to 3600 s."),
+        text_setting("machine-orders-per-second", "16",
+                     "Orders for machines that the platform takes, 0.1 to 10000 a second."),
+        text_setting("processor-share", "1", "Cores that this host may use, 0.001 to 1024."),
+        text_setting("processor-speed", "1", "Speed of a core relative to others, 0.01 to 1024."),
+        text_setting("link-megabits", "1000",
+                     "Bandwidth of this host's link, 0.01 to 1000000 Mbit/s."),
         {"first-start",
          setting_kind::word,
          "false",
--- a/src/dispatch/store_link.cpp
+++ b/src/dispatch/store_link.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/store_link.h"
 
 #include "log/log.h"
+#include "net/http_status.h"
 
 namespace guavabay {
 
@@ -18,13 +19,11 @@
 /// Added to a relayed call's time for the way to the peer and back.
 constexpr milliseconds relay_margin{150};
 
-constexpr unsigned status_too_many = 429;
-constexpr unsigned status_server_error = 500;
-
 bool is_answer(const http_answer& answer)
 {
-    return answer.m_progress == call_progress::answered && answer.m_status != status_too_many &&
-           answer.m_status < status_server_error;
+    return answer.m_progress == call_progress::answered &&
+           answer.m_status != http_status::too_many_requests &&
+           answer.m_status < http_status::server_error;
 }
 
 } // namespace
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -29,6 +29,29 @@
     return 0;
 }
 
+std::vector<machine_id> machines_with_runs(const virtual_pool& pool)
+{
+    std::vector<machine_id> machines;
+    for (const virtual_worker& worker : pool.m_workers) {
+        if (!worker.m_runs.empty()) {
+            machines.push_back(worker.m_listing.m_machine);
+        }
+    }
+    return machines;
+}
+
+template <typename Predicate>
+std::size_t count_runs(const virtual_pool& pool, Predicate counts)
+{
+    std::size_t count = 0;
+    for (const virtual_worker& worker : pool.m_workers) {
+        for (const auto& [key, run] : worker.m_runs) {
+            count += counts(run) ? 1 : 0;
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("a submission of several steps is done", "[schedule]")
@@ -283,24 +306,15 @@
     pool.submit("serve", lasting_submission(3, 1));
     pool.run_for(milliseconds(1000));
     CHECK_FALSE(is_clear(pool.newest().m_shard, machine_id("unknown")));
-    std::vector<machine_id> machines;
-    for (const virtual_worker& worker : pool.m_workers) {
-        if (!worker.m_runs.empty()) {
-            machines.push_back(worker.m_listing.m_machine);
-        }
-    }
+    const std::vector<machine_id> machines = machines_with_runs(pool);
     REQUIRE(machines.size() == 3);
     take_instructions(pool.newest().m_shard, {machines, {}, false, 0}, pool.now());
     std::size_t least_at_work = 3;
     for (int i = 0; i < 300; ++i) {
         pool.run_for(milliseconds(10));
-        std::size_t at_work = 0;
-        for (const virtual_worker& worker : pool.m_workers) {
-            for (const auto& [key, run] : worker.m_runs) {
-                at_work += run.m_done_ms > 300 && run.m_stop_at == time_point{} ? 1 : 0;
-            }
-        }
-        least_at_work = std::min(least_at_work, at_work);
+        least_at_work = std::min(least_at_work, count_runs(pool, [](const virtual_run& run) {
+                                     return run.m_done_ms > 300 && run.m_stop_at == time_point{};
+                                 }));
     }
     CHECK(least_at_work == 2);
     for (const machine_id& machine : machines) {
@@ -318,24 +332,15 @@
     pool.submit("serve", lasting_submission(3, 1));
     // Placed, and not at work yet.
     pool.run_for(milliseconds(200));
-    std::vector<machine_id> machines;
-    for (const virtual_worker& worker : pool.m_workers) {
-        if (!worker.m_runs.empty()) {
-            machines.push_back(worker.m_listing.m_machine);
-        }
-    }
+    const std::vector<machine_id> machines = machines_with_runs(pool);
     REQUIRE(machines.size() == 3);
     take_instructions(pool.newest().m_shard, {machines, {}, false, 0}, pool.now());
     std::size_t most_stopped = 0;
     for (int i = 0; i < 300; ++i) {
         pool.run_for(milliseconds(10));
-        std::size_t stopped = 0;
-        for (const virtual_worker& worker : pool.m_workers) {
-            for (const auto& [key, run] : worker.m_runs) {
-                stopped += run.m_stop_at != time_point{} ? 1 : 0;
-            }
-        }
-        most_stopped = std::max(most_stopped, stopped);
+        most_stopped = std::max(most_stopped, count_runs(pool, [](const virtual_run& run) {
+                                    return run.m_stop_at != time_point{};
+                                }));
     }
     CHECK(most_stopped == 1);
     for (const machine_id& machine : machines) {
@@ -350,24 +355,15 @@
     pool.run_for(milliseconds(200));
     pool.submit("serve", lasting_submission(3, -1));
     pool.run_for(milliseconds(1000));
-    std::vector<machine_id> machines;
-    for (const virtual_worker& worker : pool.m_workers) {
-        if (!worker.m_runs.empty()) {
-            machines.push_back(worker.m_listing.m_machine);
-        }
-    }
+    const std::vector<machine_id> machines = machines_with_runs(pool);
     REQUIRE(machines.size() == 3);
     take_instructions(pool.newest().m_shard, {{}, machines, false, 0}, pool.now());
     std::size_t least_at_work = 3;
     for (int i = 0; i < 400; ++i) {
         pool.run_for(milliseconds(10));
-        std::size_t at_work = 0;
-        for (const virtual_worker& worker : pool.m_workers) {
-            for (const auto& [key, run] : worker.m_runs) {
-                at_work += run.m_done_ms > 300 && run.m_stop_at == time_point{} ? 1 : 0;
-            }
-        }
-        least_at_work = std::min(least_at_work, at_work);
+        least_at_work = std::min(least_at_work, count_runs(pool, [](const virtual_run& run) {
+                                     return run.m_done_ms > 300 && run.m_stop_at == time_point{};
+                                 }));
     }
     CHECK(least_at_work == 2);
     for (const virtual_worker& worker : pool.m_workers) {
