Count what arrives from peers and from the store

The record of the incident does not tell whether the configuration filled the links from peers or from the store, nor how far a failed read had come.

Metrics: guavabay_peer_{sent,received}{,_bytes}_total by message kind and guavabay_store_received_bytes_total. Log: config lines carry the size and, for copies that a peer sent, whether they were newer; a failed watch tells its step, time and bytes received.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -237,7 +237,8 @@
     }
     log_info("config: applied version=" + std::to_string(m_config->m_version) +
              " revision=" + std::to_string(item.m_revision.get()) +
-             " routes=" + std::to_string(m_config->m_routes.size()));
+             " routes=" + std::to_string(m_config->m_routes.size()) +
+             " bytes=" + std::to_string(item.m_value.size()));
     // Peers that the store does not serve get the configuration from this host.
     for (const std::string& peer : select_peers(m_peer_table, max_greetings_per_round, 0)) {
         const peer_state& view = m_peer_table.m_peers[peer];
@@ -286,12 +287,18 @@
     const auto own = m_operator_records.items().find(key);
     const std::int64_t known =
         own == m_operator_records.items().end() ? 0 : own->second.m_revision.get();
-    if (!received.m_config.empty() && received.m_config_revision > known) {
-        const revision newer(received.m_config_revision);
-        m_operator_records.apply_if_newer(
-            {key, received.m_config, newer, newer, lease_id(), false});
+    if (!received.m_config.empty()) {
+        const bool is_newer = received.m_config_revision > known;
+        log_info("config: received from peer=" + received.m_address +
+                 " revision=" + std::to_string(received.m_config_revision) + " bytes=" +
+                 std::to_string(received.m_config.size()) + " newer=" + (is_newer ? "yes" : "no"));
+        if (is_newer) {
+            const revision newer(received.m_config_revision);
+            m_operator_records.apply_if_newer(
+                {key, received.m_config, newer, newer, lease_id(), false});
+        }
     }
-    else if (received.m_config_revision < known) {
+    if (received.m_config_revision < known) {
         m_peer_link.send(received.m_address, make_greeting(true));
     }
 }
@@ -530,6 +537,17 @@
         text += name + " " + std::to_string(value) + "\n";
     };
     line("guavabay_store_calls_total", static_cast<double>(m_store.call_count()));
+    line("guavabay_store_received_bytes_total", static_cast<double>(m_store.received_bytes()));
+    const link_traffic& traffic = m_peer_link.traffic();
+    for (std::size_t kind = 0; kind < traffic.size(); ++kind) {
+        const std::string labels = "{message=\"" + std::string(message_name(kind)) + "\"}";
+        const frame_counts& counts = traffic.at(kind);
+        line("guavabay_peer_sent_total" + labels, static_cast<double>(counts.m_sent));
+        line("guavabay_peer_sent_bytes_total" + labels, static_cast<double>(counts.m_sent_bytes));
+        line("guavabay_peer_received_total" + labels, static_cast<double>(counts.m_received));
+        line("guavabay_peer_received_bytes_total" + labels,
+             static_cast<double>(counts.m_received_bytes));
+    }
     line("guavabay_store_answers", m_store.is_available() ? 1 : 0);
     line("guavabay_connections_opened_total", static_cast<double>(m_client.opened()));
     line("guavabay_caller_connections", static_cast<double>(m_caller_server.open_connections()));
--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -61,6 +61,9 @@
     bool is_current = false;
     while (true) {
         m_refresh_requested = false;
+        m_received_bytes = 0;
+        const time_point started_at = read_boot_clock();
+        const bool was_current = is_current;
         bool ok = false;
         if (!is_current) {
             ok = co_await load_all();
@@ -74,7 +77,11 @@
             backoff.reset();
             continue;
         }
-        log_info("store: watch of prefix " + m_prefix + " failed and is retried: " + last_reason());
+        const duration taken = read_boot_clock() - started_at;
+        log_info("store: watch of prefix " + m_prefix + " failed and is retried: " + last_reason() +
+                 " step=" + (was_current ? "changes" : "load") + " after_ms=" +
+                 std::to_string(std::chrono::duration_cast<milliseconds>(taken).count()) +
+                 " received_bytes=" + std::to_string(m_received_bytes));
         m_retry_timer.expires_after(backoff.next());
         error_code ignored;
         co_await m_retry_timer.async_wait(to_coroutine(ignored));
@@ -90,6 +97,7 @@
     while (has_more) {
         const http_answer answer =
             co_await m_store.call(platform::encode_range(m_prefix, after, false), read_timeout);
+        m_received_bytes += answer.m_received_bytes;
         range_result page = platform::decode_range(answer);
         if (!page.m_ok) {
             co_return false;
@@ -136,6 +144,7 @@
     const http_answer answer =
         co_await m_store.call(platform::encode_watch(m_prefix, m_as_of, watch_timeout),
                               watch_timeout + watch_timeout_margin);
+    m_received_bytes += answer.m_received_bytes;
     range_result changes = platform::decode_watch(answer);
     if (!changes.m_ok) {
         co_return false;
--- a/src/dispatch/prefix_watch.h
+++ b/src/dispatch/prefix_watch.h
@@ -53,6 +53,7 @@
     bool m_is_loaded = false;
     asio::steady_timer m_retry_timer;
     bool m_refresh_requested = false;
+    std::size_t m_received_bytes = 0; ///< By the calls of the current attempt, for the log.
 };
 
 } // namespace guavabay
--- a/src/dispatch/store_client.cpp
+++ b/src/dispatch/store_client.cpp
@@ -46,6 +46,7 @@
     m_last_direct_call = read_boot_clock();
     ++m_call_count;
     http_answer answer = co_await m_client.call(m_address, std::move(store_request), timeout);
+    m_received_bytes += answer.m_received_bytes;
     if (is_served(answer)) {
         if (m_consecutive_failures >= failures_before_relay) {
             log_info("store: answers again");
--- a/src/dispatch/store_client.h
+++ b/src/dispatch/store_client.h
@@ -39,6 +39,9 @@
     /// Number of direct calls so far, for the metrics.
     [[nodiscard]] std::uint64_t call_count() const { return m_call_count; }
 
+    /// Bytes of the bodies that direct calls received so far, for the metrics.
+    [[nodiscard]] std::uint64_t received_bytes() const { return m_received_bytes; }
+
 private:
     asio::awaitable<http_answer> call_relayed(std::string peer, http_call store_request,
                                               milliseconds timeout);
@@ -50,6 +53,7 @@
     std::uint32_t m_consecutive_failures = 0; ///< Of direct calls.
     time_point m_last_direct_call{};
     std::uint64_t m_call_count = 0;
+    std::uint64_t m_received_bytes = 0;
     std::uint64_t m_next_relay = 0; ///< Round-robin position in the list of peers.
 };
 
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -27,6 +27,7 @@
     call_progress m_progress = call_progress::unknown;
     unsigned m_status = 0;
     std::string m_body;
+    std::size_t m_received_bytes = 0; ///< Of the body, also if the answer is not complete.
 };
 
 } // namespace guavabay
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -83,6 +83,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
     co_await http::async_read(*stream, buffer, parser, to_coroutine(error));
+    answer.m_received_bytes = parser.get().body().size();
     if (error) {
         co_return answer;
     }
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -93,6 +93,22 @@
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
+std::string host_link::encode_counted(std::uint64_t number, const host_message& message)
+{
+    std::string bytes = encode_frame(number, message);
+    frame_counts& counts = m_traffic.at(message.index());
+    ++counts.m_sent;
+    counts.m_sent_bytes += bytes.size();
+    return bytes;
+}
+
+void host_link::count_received(const host_frame& frame)
+{
+    frame_counts& counts = m_traffic.at(frame.m_message.index());
+    ++counts.m_received;
+    counts.m_received_bytes += frame.m_bytes;
+}
+
 std::shared_ptr<host_link::outgoing> host_link::channel_to(const std::string& address)
 {
     const auto found = m_channels.find(address);
@@ -181,6 +197,7 @@
         if (!frame) {
             break;
         }
+        count_received(*frame);
         channel->m_timeouts_in_row = 0;
         const auto found = channel->m_calls.find(frame->m_number);
         if (found == channel->m_calls.end()) {
@@ -209,7 +226,7 @@
     outgoing::waiting_call waiting;
     waiting.m_timer = &timer;
     channel->m_calls[number] = &waiting;
-    enqueue(channel, encode_frame(number, message));
+    enqueue(channel, encode_counted(number, message));
     error_code error;
     co_await timer.async_wait(to_coroutine(error));
     if (was_sent != nullptr) {
@@ -236,7 +253,7 @@
 {
     const std::shared_ptr<outgoing> channel = channel_to(address);
     if (channel && channel->m_queue_bytes <= max_waiting_bytes) {
-        enqueue(channel, encode_frame(0, message));
+        enqueue(channel, encode_counted(0, message));
     }
 }
 
@@ -274,6 +291,7 @@
         if (!frame) {
             co_return;
         }
+        count_received(*frame);
         asio::co_spawn(m_context, answer(shared, std::move(*frame)), asio::detached);
     }
 }
@@ -285,7 +303,7 @@
     if (!reply || number == 0) {
         co_return;
     }
-    shared->m_waiting += encode_frame(number, *reply);
+    shared->m_waiting += encode_counted(number, *reply);
     if (shared->m_writing) {
         co_return;
     }
--- a/src/peer/host_link.h
+++ b/src/peer/host_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -11,6 +12,17 @@
 
 namespace guavabay {
 
+/// Frames of one kind of message that a host exchanged with its peers.
+struct frame_counts {
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_sent_bytes = 0;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_received_bytes = 0;
+};
+
+/// Counts of frames by the kind of message, in the order of host_message's alternatives.
+using link_traffic = std::array<frame_counts, std::variant_size_v<host_message>>;
+
 /// Calls between entry hosts: one connection to each peer carries all calls to it, and each reply
 /// names its call. Used on the thread of its context.
 class host_link {
@@ -30,10 +42,16 @@
     /// Sends a message without a reply.
     void send(const std::string& address, const host_message& message);
 
+    /// Frames that were queued for and received from all peers so far, for the metrics.
+    [[nodiscard]] const link_traffic& traffic() const { return m_traffic; }
+
 private:
     struct outgoing;
     struct incoming;
 
+    /// Encodes and counts a message that is about to be queued.
+    std::string encode_counted(std::uint64_t number, const host_message& message);
+    void count_received(const host_frame& frame);
     std::shared_ptr<outgoing> channel_to(const std::string& address);
     void enqueue(const std::shared_ptr<outgoing>& channel, std::string bytes);
     asio::awaitable<void> run_outgoing(std::shared_ptr<outgoing> channel, ip_address target);
@@ -47,6 +65,7 @@
     request_handler m_handler;
     std::map<std::string, std::shared_ptr<outgoing>> m_channels;
     std::uint64_t m_next_number = 1;
+    link_traffic m_traffic{};
 };
 
 } // namespace guavabay
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -1,5 +1,6 @@
 #include "peer/host_message.h"
 
+#include <array>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -90,6 +91,14 @@
 
 } // namespace
 
+std::string_view message_name(std::size_t kind)
+{
+    static constexpr std::array<std::string_view, std::variant_size_v<host_message>> names{
+        "submit_request", "cancel_request", "state_request", "count_request", "cordon_request",
+        "relay_request",  "greeting",       "owner_reply",   "cordon_reply",  "relay_reply"};
+    return names.at(kind);
+}
+
 std::string encode_frame(std::uint64_t number, const host_message& message)
 {
     std::string bytes(sizeof(std::uint32_t), '\0');
@@ -106,6 +115,7 @@
         bounded_input_archive archive(bytes);
         host_frame frame;
         archive(frame.m_number, frame.m_message);
+        frame.m_bytes = bytes.size();
         if (!is_known(frame.m_message)) {
             return fail("malformed frame: a word is not known");
         }
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -108,6 +109,9 @@
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
                  relay_request, greeting, owner_reply, cordon_reply, relay_reply>;
 
+/// Name of a message's kind, for metrics.
+std::string_view message_name(std::size_t kind);
+
 /// Encodes a message with its number as one frame, length included.
 std::string encode_frame(std::uint64_t number, const host_message& message);
 
@@ -115,6 +119,7 @@
 struct host_frame {
     std::uint64_t m_number = 0;
     host_message m_message;
+    std::size_t m_bytes = 0; ///< Size of the encoded frame without its length field.
 };
 
 /// Decodes a frame without its length; empty with a reason when it is malformed.
