Send the configuration to peers only on request

Callers got 404 for routes that had been confirmed seconds before, and submissions ran into their deadlines, while the configuration changed in quick succession.

Cause: a host answered every greeting with an older revision with the whole configuration, and pushed each new one to the eight first peers by address that it believed to be without the store. Greetings are many (16 a second and host), so while versions follow closely each host that is a few milliseconds behind is sent many copies; the copies fill its link (10 Mbit/s), the watch on the store falls behind, and the host greets with an older revision for longer. A failed watch also counts as "the store does not answer", which caused more pushes.

Now greetings carry only the revision. A host that has received no newer version for 700 ms, from wherever, although a peer has one, asks one such peer at a time (a greeting sent as a call; its reply holds the configuration). Hosts begin at different sources. An older build still takes such a reply, and its own pushes are still accepted.

The test's handler takes the new flag; its checks are the same.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -36,6 +36,9 @@
 constexpr milliseconds greeting_interval{500};
 constexpr std::size_t max_greetings_per_round = 8;
 
+/// Time limit for fetching the configuration from a peer.
+constexpr milliseconds config_fetch_timeout{1500};
+
 /// How long a stopping host still serves new connections, until the load balancer has removed it.
 constexpr milliseconds balancer_removal_time{2600};
 
@@ -91,7 +94,9 @@
                                               m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
       m_peer_link(context, m_settings.m_peer_address,
-                  [this](host_message message) { return handle_peer_message(std::move(message)); }),
+                  [this](host_message message, bool reply_expected) {
+                      return handle_peer_message(std::move(message), reply_expected);
+                  }),
       m_operator_records(
           context, m_store, std::string(platform::operator_prefix),
           [this](const std::vector<std::string>& keys) { handle_operator_changes(keys); }),
@@ -113,6 +118,8 @@
     }
     m_peer_table.m_own_address = m_self.m_peer_address;
     m_peer_table.m_seeds = m_settings.m_seeds;
+    // Hosts that are behind at the same time start with different sources.
+    m_config_fetch.m_next_source = stable_hash(m_self.m_peer_address);
     m_store.set_relay_peers(m_peer_link,
                             [this] { return peers_with_store(m_peer_table, read_boot_clock()); });
 }
@@ -239,13 +246,6 @@
              " revision=" + std::to_string(item.m_revision.get()) +
              " routes=" + std::to_string(m_config->m_routes.size()) +
              " bytes=" + std::to_string(item.m_value.size()));
-    // Peers that the store does not serve get the configuration from this host.
-    for (const std::string& peer : select_peers(m_peer_table, max_greetings_per_round, 0)) {
-        const peer_state& view = m_peer_table.m_peers[peer];
-        if (!view.m_store_answers) {
-            m_peer_link.send(peer, make_greeting(true));
-        }
-    }
 }
 
 greeting dispatcher::make_greeting(bool with_config) const
@@ -254,12 +254,10 @@
     own_greeting.m_host = m_self.m_host.str();
     own_greeting.m_address = m_self.m_peer_address;
     own_greeting.m_store_answers = m_store.is_available();
-    const auto found = m_operator_records.items().find(std::string(platform::config_key));
-    if (found != m_operator_records.items().end()) {
-        own_greeting.m_config_revision = found->second.m_revision.get();
-        if (with_config) {
-            own_greeting.m_config = found->second.m_value;
-        }
+    own_greeting.m_config_revision = config_revision();
+    if (with_config && own_greeting.m_config_revision != 0) {
+        own_greeting.m_config =
+            m_operator_records.items().at(std::string(platform::config_key)).m_value;
     }
     for (const auto& [address, view] : m_peer_table.m_peers) {
         own_greeting.m_peers.push_back(address);
@@ -283,23 +281,47 @@
             add_peer(m_peer_table, address, now);
         }
     }
-    const std::string key(platform::config_key);
-    const auto own = m_operator_records.items().find(key);
-    const std::int64_t known =
-        own == m_operator_records.items().end() ? 0 : own->second.m_revision.get();
     if (!received.m_config.empty()) {
-        const bool is_newer = received.m_config_revision > known;
+        const bool is_newer = received.m_config_revision > config_revision();
         log_info("config: received from peer=" + received.m_address +
                  " revision=" + std::to_string(received.m_config_revision) + " bytes=" +
                  std::to_string(received.m_config.size()) + " newer=" + (is_newer ? "yes" : "no"));
-        if (is_newer) {
-            const revision newer(received.m_config_revision);
-            m_operator_records.apply_if_newer(
-                {key, received.m_config, newer, newer, lease_id(), false});
-        }
+        const revision newer(received.m_config_revision);
+        m_operator_records.apply_if_newer({std::string(platform::config_key), received.m_config,
+                                           newer, newer, lease_id(), false});
     }
-    if (received.m_config_revision < known) {
-        m_peer_link.send(received.m_address, make_greeting(true));
+    fetch_config_if_due();
+}
+
+std::int64_t dispatcher::config_revision() const
+{
+    const auto found = m_operator_records.items().find(std::string(platform::config_key));
+    return found == m_operator_records.items().end() ? 0 : found->second.m_revision.get();
+}
+
+void dispatcher::fetch_config_if_due()
+{
+    const std::optional<std::string> source =
+        select_config_source(m_config_fetch, m_peer_table, config_revision(), read_boot_clock());
+    if (source) {
+        asio::co_spawn(m_context, fetch_config(*source), asio::detached);
+    }
+}
+
+asio::awaitable<void> dispatcher::fetch_config(std::string peer)
+{
+    log_info("config: fetching from peer=" + peer +
+             " known_revision=" + std::to_string(config_revision()));
+    host_message request(make_greeting(false));
+    std::string address = peer;
+    const std::optional<host_message> reply = co_await m_peer_link.call(
+        std::move(address), std::move(request), config_fetch_timeout, nullptr);
+    m_config_fetch.m_in_progress = false;
+    if (!reply) {
+        log_info("config: fetch failed peer=" + peer + ": " + last_reason());
+    }
+    else if (const auto* received = std::get_if<greeting>(&*reply)) {
+        handle_greeting(*received);
     }
 }
 
@@ -320,6 +342,7 @@
             m_peer_link.send(peer, own_greeting);
         }
         ++round;
+        fetch_config_if_due();
         timer.expires_after(greeting_interval);
         error_code ignored;
         co_await timer.async_wait(to_coroutine(ignored));
@@ -640,11 +663,15 @@
     co_return host_message(std::move(reply));
 }
 
-asio::awaitable<std::optional<host_message>> dispatcher::handle_peer_message(host_message message)
+asio::awaitable<std::optional<host_message>> dispatcher::handle_peer_message(host_message message,
+                                                                             bool reply_expected)
 {
     if (const auto* received = std::get_if<greeting>(&message)) {
         handle_greeting(*received);
-        co_return std::nullopt;
+        if (!reply_expected) {
+            co_return std::nullopt;
+        }
+        co_return host_message(make_greeting(config_revision() > received->m_config_revision));
     }
     if (auto* call = std::get_if<relay_request>(&message)) {
         host_message reply = co_await relay_store_call(std::move(*call));
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "dispatch/caller_server.h"
+#include "dispatch/config_fetch.h"
 #include "dispatch/host_metrics.h"
 #include "dispatch/host_settings.h"
 #include "dispatch/machine_controller.h"
@@ -50,7 +51,8 @@
     asio::awaitable<std::optional<owner_reply>>
     call_owner_once(service_id service, host_message message, milliseconds timeout);
     /// Handles a message of another host; an empty result sends no reply.
-    asio::awaitable<std::optional<host_message>> handle_peer_message(host_message message);
+    asio::awaitable<std::optional<host_message>> handle_peer_message(host_message message,
+                                                                     bool reply_expected);
     /// Handles a message if this host owns the service; replies not_owner otherwise.
     asio::awaitable<owner_reply> handle_as_owner(service_id service, host_message message);
     /// Calls the store for a peer that it does not serve.
@@ -66,6 +68,11 @@
     void handle_operator_changes(const std::vector<std::string>& keys);
     void apply_config(const store_item& item);
     void handle_greeting(const greeting& received);
+    /// Revision of the newest known configuration; zero if there is none.
+    [[nodiscard]] std::int64_t config_revision() const;
+    /// Fetches the configuration from a peer if that is due.
+    void fetch_config_if_due();
+    asio::awaitable<void> fetch_config(std::string peer);
     greeting make_greeting(bool with_config) const;
     void on_shard_gained(const service_id& shard, revision token);
     void on_shard_lost(const service_id& shard);
@@ -80,6 +87,7 @@
     store_client m_store;
     host_link m_peer_link;
     peer_table m_peer_table;
+    config_fetch m_config_fetch;
     prefix_watch m_operator_records; ///< Configuration and upkeep waves.
     registry m_registry;
     caller_server m_caller_server;
--- a/src/dispatch/peer_table.cpp
+++ b/src/dispatch/peer_table.cpp
@@ -49,11 +49,16 @@
     return all;
 }
 
+bool is_recent(const peer_state& peer, time_point now)
+{
+    return now - peer.m_last_heard_at < peer_state_validity;
+}
+
 std::vector<std::string> peers_with_store(const peer_table& table, time_point now)
 {
     std::vector<std::string> peers;
     for (const auto& [address, view] : table.m_peers) {
-        if (view.m_store_answers && now - view.m_last_heard_at < peer_state_validity) {
+        if (view.m_store_answers && is_recent(view, now)) {
             peers.push_back(address);
         }
     }
@@ -64,7 +69,7 @@
 {
     std::size_t peers_without_store = 0;
     for (const auto& [address, view] : table.m_peers) {
-        if (now - view.m_last_heard_at >= peer_state_validity) {
+        if (!is_recent(view, now)) {
             continue;
         }
         if (view.m_store_answers) {
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -35,6 +35,9 @@
 std::vector<std::string> select_peers(const peer_table& table, std::size_t max_count,
                                       std::uint64_t turn);
 
+/// True if the peer's last message is recent enough to rely on what it reported.
+bool is_recent(const peer_state& peer, time_point now);
+
 /// Returns the addresses of peers that recently reported that the store answers them.
 std::vector<std::string> peers_with_store(const peer_table& table, time_point now);
 
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -299,7 +299,7 @@
 asio::awaitable<void> host_link::answer(std::shared_ptr<incoming> shared, host_frame frame)
 {
     const std::uint64_t number = frame.m_number;
-    std::optional<host_message> reply = co_await m_handler(std::move(frame.m_message));
+    std::optional<host_message> reply = co_await m_handler(std::move(frame.m_message), number != 0);
     if (!reply || number == 0) {
         co_return;
     }
--- a/src/peer/host_link.h
+++ b/src/peer/host_link.h
@@ -27,9 +27,10 @@
 /// names its call. Used on the thread of its context.
 class host_link {
 public:
-    /// Answers a call; an empty result sends no reply.
+    /// Handles a message and returns the reply to it; an empty result sends none. The flag tells
+    /// whether the sender waits for a reply; if it does not, the result is ignored.
     using request_handler =
-        std::function<asio::awaitable<std::optional<host_message>>(host_message)>;
+        std::function<asio::awaitable<std::optional<host_message>>(host_message, bool)>;
 
     /// Listens on an address. Throws boost::system::system_error when it is taken.
     host_link(asio::io_context& context, const ip_address& address, request_handler handler);
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -94,13 +94,14 @@
     std::string m_body;
 };
 
-/// What a host believes, sent to its peers at intervals.
+/// What a host believes, sent to its peers at intervals. As a call it asks the receiver for its own
+/// greeting, with the configuration if that is newer than the sender's.
 struct greeting {
     std::string m_host;
     std::string m_address;
     std::int64_t m_config_revision = 0;
     bool m_store_answers = false;
-    std::string m_config;             ///< In full, when the receiver is known to be behind.
+    std::string m_config;             ///< In full, only in the reply to a call.
     std::vector<std::string> m_peers; ///< Addresses of other hosts.
 };
 
--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -217,7 +217,7 @@
     int copies = 0;
     std::int64_t announced = 0;
     host_link peer(context, peer_address,
-                   [&](host_message message) -> asio::awaitable<std::optional<host_message>> {
+                   [&](host_message message, bool) -> asio::awaitable<std::optional<host_message>> {
                        if (const auto* received = std::get_if<greeting>(&message)) {
                            copies += received->m_config.empty() ? 0 : 1;
                            announced = std::max(announced, received->m_config_revision);
