Limit replies and messages between hosts by their progress

A reply of a peer, such as the configuration or a relayed read, had to be complete within its timeout, and a write to a peer within 2 s, whatever their size and the link. A transfer that takes longer can never succeed: it is abandoned and begins anew, and an abandoned write also closes the connection with all other calls on it.

Calls can now allow a maximum pause: at its timeout a call waits on while a frame is arriving. The fetch of the configuration uses it. A write fails only after 2 s without progress.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -36,8 +36,10 @@
 constexpr milliseconds greeting_interval{500};
 constexpr std::size_t max_greetings_per_round = 8;
 
-/// Time limit for fetching the configuration from a peer.
+/// Time limit until a peer's reply with the configuration arrives or is arriving, and the longest
+/// pause while it arrives.
 constexpr milliseconds config_fetch_timeout{1500};
+constexpr milliseconds max_config_fetch_pause{1000};
 
 /// How long a stopping host still serves new connections, until the load balancer has removed it.
 constexpr milliseconds balancer_removal_time{2600};
@@ -302,7 +304,8 @@
 void dispatcher::fetch_config_if_due()
 {
     const std::optional<std::string> source =
-        select_config_source(m_config_fetch, m_peer_table, config_revision(), read_boot_clock());
+        select_config_source(m_config_fetch, m_peer_table, config_revision(),
+                             m_operator_records.last_received_at(), read_boot_clock());
     if (source) {
         asio::co_spawn(m_context, fetch_config(*source), asio::detached);
     }
@@ -314,8 +317,9 @@
              " known_revision=" + std::to_string(config_revision()));
     host_message request(make_greeting(false));
     std::string address = peer;
-    const std::optional<host_message> reply = co_await m_peer_link.call(
-        std::move(address), std::move(request), config_fetch_timeout, nullptr);
+    const std::optional<host_message> reply =
+        co_await m_peer_link.call(std::move(address), std::move(request), config_fetch_timeout,
+                                  nullptr, max_config_fetch_pause);
     m_config_fetch.m_in_progress = false;
     if (!reply) {
         log_info("config: fetch failed peer=" + peer + ": " + last_reason());
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -15,13 +15,21 @@
 /// Bytes that may wait for a peer that does not read.
 constexpr std::size_t max_waiting_bytes = 16U << 20U;
 
-/// Longest a write to a peer may take.
-constexpr milliseconds write_time{2000};
+/// Longest time in which a write to a peer may make no progress.
+constexpr milliseconds max_write_pause{2000};
+
+/// Bytes of a connection that were received and not decoded yet.
+struct receive_buffer {
+    std::string m_bytes;
+    std::size_t m_incomplete_bytes = 0; ///< Of a frame of which more is to come.
+    time_point m_last_received_at{};
+};
 
 /// Reads one frame; empty when the connection ended or the frame is malformed.
 asio::awaitable<std::optional<host_frame>> read_frame(asio::ip::tcp::socket& socket,
-                                                      std::string& buffer)
+                                                      receive_buffer& received)
 {
+    std::string& buffer = received.m_bytes;
     error_code error;
     std::uint32_t length = 0;
     while (true) {
@@ -36,11 +44,13 @@
             }
         }
         const std::size_t before = buffer.size();
+        received.m_incomplete_bytes = before;
         const std::size_t wanted = std::max<std::size_t>(16384, length + sizeof length - before);
         buffer.resize(before + wanted);
         const std::size_t got = co_await socket.async_read_some(
             asio::buffer(buffer.data() + before, wanted), to_coroutine(error));
         buffer.resize(before + (error ? 0 : got));
+        received.m_last_received_at = read_boot_clock();
         if (error) {
             co_return std::nullopt;
         }
@@ -67,6 +77,13 @@
         bool m_failed = false;
     };
 
+    /// True while a frame is arriving with no pause longer than the given one.
+    [[nodiscard]] bool is_receiving(milliseconds max_pause) const
+    {
+        return m_received.m_incomplete_bytes > 0 &&
+               read_boot_clock() - m_received.m_last_received_at < max_pause;
+    }
+
     void fail_all()
     {
         for (auto& [number, call] : m_calls) {
@@ -79,6 +96,7 @@
     std::string m_address;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_wake;
+    receive_buffer m_received;
     std::deque<std::string> m_queue;
     std::size_t m_queue_bytes = 0;
     std::map<std::uint64_t, waiting_call*> m_calls;
@@ -164,14 +182,22 @@
                 call->m_sent = true;
             }
             channel->m_queue_bytes = bytes.size();
-            asio::steady_timer write_limit(m_context, write_time);
-            write_limit.async_wait([channel](const error_code& stopped) {
-                if (!stopped) {
-                    error_code ignored;
-                    channel->m_socket.close(ignored);
-                }
-            });
-            co_await asio::async_write(channel->m_socket, asio::buffer(bytes), to_coroutine(error));
+            asio::steady_timer write_limit(m_context);
+            std::size_t written = 0;
+            error.clear();
+            while (written < bytes.size() && !error) {
+                write_limit.expires_after(max_write_pause);
+                write_limit.async_wait([channel](const error_code& stopped) {
+                    if (!stopped) {
+                        error_code ignored;
+                        channel->m_socket.close(ignored);
+                    }
+                });
+                const std::size_t count = co_await channel->m_socket.async_write_some(
+                    asio::buffer(bytes.data() + written, bytes.size() - written),
+                    to_coroutine(error));
+                written += count;
+            }
             write_limit.cancel();
             channel->m_queue_bytes = 0;
             if (error) {
@@ -191,9 +217,9 @@
 
 asio::awaitable<void> host_link::read_replies(std::shared_ptr<outgoing> channel)
 {
-    std::string buffer;
     while (true) {
-        std::optional<host_frame> frame = co_await read_frame(channel->m_socket, buffer);
+        std::optional<host_frame> frame =
+            co_await read_frame(channel->m_socket, channel->m_received);
         if (!frame) {
             break;
         }
@@ -211,8 +237,10 @@
     channel->m_wake.cancel();
 }
 
-asio::awaitable<std::optional<host_message>>
-host_link::call(std::string address, host_message message, milliseconds timeout, bool* was_sent)
+asio::awaitable<std::optional<host_message>> host_link::call(std::string address,
+                                                             host_message message,
+                                                             milliseconds timeout, bool* was_sent,
+                                                             std::optional<milliseconds> max_pause)
 {
     const std::shared_ptr<outgoing> channel = channel_to(address);
     if (was_sent != nullptr) {
@@ -229,6 +257,11 @@
     enqueue(channel, encode_counted(number, message));
     error_code error;
     co_await timer.async_wait(to_coroutine(error));
+    while (max_pause && !waiting.m_reply && !waiting.m_failed &&
+           channel->is_receiving(*max_pause)) {
+        timer.expires_after(*max_pause);
+        co_await timer.async_wait(to_coroutine(error));
+    }
     if (was_sent != nullptr) {
         *was_sent = waiting.m_sent;
     }
@@ -285,9 +318,9 @@
     auto shared = std::make_shared<incoming>(std::move(socket));
     error_code error;
     shared->m_socket.set_option(asio::ip::tcp::no_delay(true), error);
-    std::string buffer;
+    receive_buffer received;
     while (true) {
-        std::optional<host_frame> frame = co_await read_frame(shared->m_socket, buffer);
+        std::optional<host_frame> frame = co_await read_frame(shared->m_socket, received);
         if (!frame) {
             co_return;
         }
