Limit reads from the store by their progress

Hosts on thin links got versions of the configuration late or never, and threw away what they had received of them.

Cause: a call to the store had to be complete within its timeout: 1.5 s for a page of records, 2.1 s for a long poll with the wait for the change. The time of a transfer depends on its size and the link, so a record that takes longer can never be read: it is abandoned and requested anew. This holds for each thing a host takes from the store: the operator's records, hosts and owners, the list of workers, and the log of a shard, of which one failed page discards the whole read.

Now the timeout of a call to the store ends when the answer begins; after that a pause of more than 1 s fails it. This is in the store's client, so all reads get it, relayed ones too. Writes likewise may take as long as they make progress. While the store is sending an answer to a host, the host does not ask peers for the configuration. Orders to workers keep fixed limits, since their answers are small and late ones are worthless.

--- a/src/dispatch/config_fetch.cpp
+++ b/src/dispatch/config_fetch.cpp
@@ -13,7 +13,8 @@
 } // namespace
 
 std::optional<std::string> select_config_source(config_fetch& fetch, const peer_table& table,
-                                                std::int64_t known_revision, time_point now)
+                                                std::int64_t known_revision,
+                                                time_point last_store_data_at, time_point now)
 {
     std::int64_t newest = known_revision;
     for (const auto& [address, peer] : table.m_peers) {
@@ -29,7 +30,7 @@
     }
     fetch.m_known_revision = known_revision;
     if (fetch.m_in_progress || !fetch.m_behind_since ||
-        now - *fetch.m_behind_since < store_delivery_time) {
+        now - std::max(*fetch.m_behind_since, last_store_data_at) < store_delivery_time) {
         return std::nullopt;
     }
     std::vector<std::string> sources;
--- a/src/dispatch/config_fetch.h
+++ b/src/dispatch/config_fetch.h
@@ -18,9 +18,11 @@
 };
 
 /// Returns the peer to fetch the configuration from, or nothing if no fetch is due. It is due if a
-/// peer has a newer revision and this host has received none for a while, also not from the store.
-/// At most one fetch is in progress; the caller resets m_in_progress when it ends.
+/// peer has a newer revision and for a while this host has received neither one nor any part of an
+/// answer of the store. At most one fetch is in progress; the caller resets m_in_progress when it
+/// ends.
 std::optional<std::string> select_config_source(config_fetch& fetch, const peer_table& table,
-                                                std::int64_t known_revision, time_point now);
+                                                std::int64_t known_revision,
+                                                time_point last_store_data_at, time_point now);
 
 } // namespace guavabay
--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 
-/// The store answers a long poll after at most watch_timeout. A call without an answer after
-/// another watch_timeout_margin indicates a dead connection and fails.
+/// The store begins to answer a long poll after at most watch_timeout. A call without an answer
+/// after another watch_timeout_margin indicates a dead connection and fails.
 constexpr milliseconds watch_timeout{1500};
 constexpr milliseconds watch_timeout_margin{600};
 
-/// Time limit for reading one page of records.
+/// Time limit until the answer with one page of records begins.
 constexpr milliseconds read_timeout{1500};
 
 } // namespace
@@ -95,8 +95,8 @@
     std::string after;
     bool has_more = true;
     while (has_more) {
-        const http_answer answer =
-            co_await m_store.call(platform::encode_range(m_prefix, after, false), read_timeout);
+        const http_answer answer = co_await m_store.call(
+            platform::encode_range(m_prefix, after, false), read_timeout, &m_last_received_at);
         m_received_bytes += answer.m_received_bytes;
         range_result page = platform::decode_range(answer);
         if (!page.m_ok) {
@@ -143,7 +143,7 @@
 {
     const http_answer answer =
         co_await m_store.call(platform::encode_watch(m_prefix, m_as_of, watch_timeout),
-                              watch_timeout + watch_timeout_margin);
+                              watch_timeout + watch_timeout_margin, &m_last_received_at);
     m_received_bytes += answer.m_received_bytes;
     range_result changes = platform::decode_watch(answer);
     if (!changes.m_ok) {
--- a/src/dispatch/prefix_watch.h
+++ b/src/dispatch/prefix_watch.h
@@ -34,6 +34,9 @@
     /// True once all records were loaded for the first time.
     [[nodiscard]] bool is_loaded() const { return m_is_loaded; }
 
+    /// Boot-clock time at which the store last sent a part of an answer directly to this host.
+    [[nodiscard]] time_point last_received_at() const { return m_last_received_at; }
+
     /// Stores a record obtained by other means, such as from a peer, and calls the handler; does
     /// nothing if the known record is as new.
     void apply_if_newer(store_item item);
@@ -53,6 +56,7 @@
     bool m_is_loaded = false;
     asio::steady_timer m_retry_timer;
     bool m_refresh_requested = false;
+    time_point m_last_received_at{};
     std::size_t m_received_bytes = 0; ///< By the calls of the current attempt, for the log.
 };
 
--- a/src/dispatch/store_client.cpp
+++ b/src/dispatch/store_client.cpp
@@ -16,6 +16,10 @@
 /// Upper limit for the timeout of a direct call while peers can relay it.
 constexpr milliseconds max_direct_timeout{900};
 
+/// Longest pause within an answer. The time of a whole answer depends on its size and on the link,
+/// so a longer pause, not a longer answer, indicates a dead connection.
+constexpr milliseconds max_answer_pause{1000};
+
 /// Added to the timeout of a relayed call for the round trip to the peer.
 constexpr milliseconds relay_timeout_margin{150};
 
@@ -41,11 +45,13 @@
 }
 
 asio::awaitable<http_answer> store_client::call_direct(http_call store_request,
-                                                       milliseconds timeout)
+                                                       milliseconds timeout,
+                                                       time_point* last_received_at)
 {
     m_last_direct_call = read_boot_clock();
     ++m_call_count;
-    http_answer answer = co_await m_client.call(m_address, std::move(store_request), timeout);
+    http_answer answer = co_await m_client.call(m_address, std::move(store_request), timeout,
+                                                max_answer_pause, last_received_at);
     m_received_bytes += answer.m_received_bytes;
     if (is_served(answer)) {
         if (m_consecutive_failures >= failures_before_relay) {
@@ -74,8 +80,9 @@
     http_answer answer;
     bool sent = false;
     host_message message(std::move(request));
-    std::optional<host_message> reply = co_await m_peer_link->call(
-        std::move(peer), std::move(message), timeout + relay_timeout_margin, &sent);
+    std::optional<host_message> reply =
+        co_await m_peer_link->call(std::move(peer), std::move(message),
+                                   timeout + relay_timeout_margin, &sent, max_answer_pause);
     if (!reply) {
         answer.m_progress = sent ? call_progress::unknown : call_progress::not_sent;
         co_return answer;
@@ -88,7 +95,8 @@
     co_return answer;
 }
 
-asio::awaitable<http_answer> store_client::call(http_call store_request, milliseconds timeout)
+asio::awaitable<http_answer> store_client::call(http_call store_request, milliseconds timeout,
+                                                time_point* last_received_at)
 {
     std::vector<std::string> peers;
     if (m_consecutive_failures >= failures_before_relay && m_relay_peers) {
@@ -98,7 +106,8 @@
         const milliseconds direct_timeout =
             peers.empty() ? timeout : std::min(timeout, max_direct_timeout);
         http_call copy = store_request;
-        http_answer answer = co_await call_direct(std::move(copy), direct_timeout);
+        http_answer answer =
+            co_await call_direct(std::move(copy), direct_timeout, last_received_at);
         if (is_served(answer) || peers.empty()) {
             co_return answer;
         }
--- a/src/dispatch/store_client.h
+++ b/src/dispatch/store_client.h
@@ -25,12 +25,15 @@
 
     /// Makes a call, relayed by a peer while the store does not serve this host. A direct attempt
     /// that fails may precede the relayed one, so that the whole may take longer than the timeout.
-    /// Failures are reported in the progress and status of the answer.
-    asio::awaitable<http_answer> call(http_call store_request, milliseconds timeout);
-
-    /// Makes a call to the store without a relay. Failures are reported in the progress and status
-    /// of the answer.
-    asio::awaitable<http_answer> call_direct(http_call store_request, milliseconds timeout);
+    /// The timeout applies until an answer begins; an answer that keeps arriving is not abandoned.
+    /// Failures are reported in the progress and status of the answer. Sets the time at which data
+    /// last arrived on a direct call, if it is asked for.
+    asio::awaitable<http_answer> call(http_call store_request, milliseconds timeout,
+                                      time_point* last_received_at = nullptr);
+
+    /// Makes a call to the store without a relay, like call().
+    asio::awaitable<http_answer> call_direct(http_call store_request, milliseconds timeout,
+                                             time_point* last_received_at = nullptr);
 
     /// True if the store served the last direct call, and before the first one. A failed
     /// connection, a missing answer, status 429 and statuses from 500 on count as not served.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -53,18 +53,19 @@
 }
 
 asio::awaitable<http_answer> http_client::call(ip_address address, http_call what,
-                                               milliseconds timeout)
+                                               milliseconds timeout,
+                                               std::optional<milliseconds> max_pause,
+                                               time_point* last_received_at)
 {
     http_answer answer;
     error_code error;
     const key place{address.m_ip, address.m_port};
+    using clock = asio::steady_timer::clock_type;
+    const clock::time_point deadline = clock::now() + timeout;
     std::optional<beast::tcp_stream> stream = take_idle(place);
-    if (stream) {
-        stream->expires_after(timeout);
-    }
-    else {
+    if (!stream) {
         stream.emplace(m_context);
-        stream->expires_after(timeout);
+        stream->expires_at(deadline);
         ++m_opened;
         co_await stream->async_connect(address.tcp(), to_coroutine(error));
         if (error) {
@@ -75,17 +76,34 @@
         stream->socket().non_blocking(true, error);
     }
     const auto request = make_request(std::move(what), address);
-    co_await http::async_write(*stream, request, to_coroutine(error));
-    if (error) {
-        co_return answer;
+    http::request_serializer<http::string_body> serializer(request);
+    while (!serializer.is_done()) {
+        stream->expires_at(max_pause ? std::max(deadline, clock::now() + *max_pause) : deadline);
+        co_await http::async_write_some(*stream, serializer, to_coroutine(error));
+        if (error) {
+            co_return answer;
+        }
+    }
+    if (max_pause) {
+        // A request that took long to send leaves the other side time to answer.
+        stream->expires_at(std::max(deadline, clock::now() + std::min(timeout, *max_pause)));
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
-    co_await http::async_read(*stream, buffer, parser, to_coroutine(error));
-    answer.m_received_bytes = parser.get().body().size();
-    if (error) {
-        co_return answer;
+    parser.eager(true);
+    while (!parser.is_done()) {
+        co_await http::async_read_some(*stream, buffer, parser, to_coroutine(error));
+        answer.m_received_bytes = parser.get().body().size();
+        if (error) {
+            co_return answer;
+        }
+        if (last_received_at != nullptr) {
+            *last_received_at = read_boot_clock();
+        }
+        if (max_pause) {
+            stream->expires_after(*max_pause);
+        }
     }
     answer.m_progress = call_progress::answered;
     answer.m_status = parser.get().result_int();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/time.h"
@@ -17,8 +18,13 @@
     /// Makes a client that keeps at most the given number of idle connections to an address.
     http_client(asio::io_context& context, std::size_t max_idle_per_address);
 
-    /// Carries out a call within a time.
-    asio::awaitable<http_answer> call(ip_address address, http_call what, milliseconds timeout);
+    /// Carries out a call, which has to be complete within the timeout. With a maximum pause the
+    /// timeout only limits the time until the answer begins; the request and the answer may take
+    /// as long as they make progress, with no pause longer than the maximum. Sets the time at which
+    /// data last arrived, if it is asked for.
+    asio::awaitable<http_answer> call(ip_address address, http_call what, milliseconds timeout,
+                                      std::optional<milliseconds> max_pause = std::nullopt,
+                                      time_point* last_received_at = nullptr);
 
     /// Number of connections opened so far, for the metrics.
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
--- a/tests/dispatch/config_fetch_test.cpp
+++ b/tests/dispatch/config_fetch_test.cpp
@@ -25,9 +25,9 @@
 {
     config_fetch fetch;
     const peer_table table = make_peers(5, 7);
-    CHECK_FALSE(select_config_source(fetch, table, 7, start));
-    CHECK_FALSE(select_config_source(fetch, table, 8, start + milliseconds(1000)));
-    CHECK_FALSE(select_config_source(fetch, peer_table(), 0, start + milliseconds(1000)));
+    CHECK_FALSE(select_config_source(fetch, table, 7, start, start));
+    CHECK_FALSE(select_config_source(fetch, table, 8, start, start + milliseconds(1000)));
+    CHECK_FALSE(select_config_source(fetch, peer_table(), 0, start, start + milliseconds(1000)));
 }
 
 // Guards against fetches beside a store that delivers: they add load exactly when changes come
@@ -41,24 +41,34 @@
         for (auto& [address, peer] : table.m_peers) {
             peer.m_last_heard_at = now;
         }
-        CHECK_FALSE(select_config_source(fetch, table, 7 + i, now));
+        CHECK_FALSE(select_config_source(fetch, table, 7 + i, start, now));
     }
 }
 
+TEST_CASE("a host to which the store is sending an answer asks no peer", "[config_fetch]")
+{
+    config_fetch fetch;
+    const peer_table table = make_peers(5, 8);
+    CHECK_FALSE(select_config_source(fetch, table, 7, start, start));
+    const time_point now = start + milliseconds(1500);
+    CHECK_FALSE(select_config_source(fetch, table, 7, now - milliseconds(100), now));
+    CHECK(select_config_source(fetch, table, 7, now - milliseconds(800), now));
+}
+
 TEST_CASE("a host that receives nothing asks one peer at a time", "[config_fetch]")
 {
     config_fetch fetch;
     peer_table table = make_peers(5, 8);
     table.m_peers["10.0.0.9:70"] = {start, true, 7};
-    CHECK_FALSE(select_config_source(fetch, table, 7, start));
+    CHECK_FALSE(select_config_source(fetch, table, 7, start, start));
     const time_point due = start + milliseconds(800);
     std::set<std::string> sources;
     for (int i = 0; i < 5; ++i) {
-        const auto source = select_config_source(fetch, table, 7, due);
+        const auto source = select_config_source(fetch, table, 7, start, due);
         REQUIRE(source);
         CHECK(*source != "10.0.0.9:70");
         sources.insert(*source);
-        CHECK_FALSE(select_config_source(fetch, table, 7, due));
+        CHECK_FALSE(select_config_source(fetch, table, 7, start, due));
         fetch.m_in_progress = false;
     }
     CHECK(sources.size() == 5);
@@ -68,6 +78,6 @@
 {
     config_fetch fetch;
     const peer_table table = make_peers(5, 8);
-    CHECK_FALSE(select_config_source(fetch, table, 7, start));
-    CHECK_FALSE(select_config_source(fetch, table, 7, start + seconds(2)));
+    CHECK_FALSE(select_config_source(fetch, table, 7, start, start));
+    CHECK_FALSE(select_config_source(fetch, table, 7, start, start + seconds(2)));
 }
