Skip superseded versions when changes come faster than they arrive

A host on a thin link fell further behind with each change of a series.

Cause: a long poll returns each version since the last one, whole. If a transfer takes longer than the time between versions, the next answer holds several of them and takes longer still, and so on; only the last one is of use.

Now an answer that holds more than 16 KB of superseded versions makes the watch read the current records next, which contain each record once, until a read finds nothing new. Each changed key is also reported once, so that the configuration is decoded once an answer.

--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/prefix_watch.h"
 
+#include <set>
+
 #include "core/result.h"
 #include "dispatch/retry_backoff.h"
 #include "log/log.h"
@@ -14,6 +16,10 @@
 constexpr milliseconds watch_timeout{1500};
 constexpr milliseconds watch_timeout_margin{600};
 
+/// Superseded versions of records cost more than another read if they are larger than this in
+/// total.
+constexpr std::size_t max_superseded_bytes = 16U << 10U;
+
 /// Time limit until the answer with one page of records begins.
 constexpr milliseconds read_timeout{1500};
 
@@ -58,28 +64,27 @@
 asio::awaitable<void> prefix_watch::run()
 {
     retry_backoff backoff;
-    bool is_current = false;
+    bool load_next = true;
+    read_outcome outcome = read_outcome::failed;
     while (true) {
         m_refresh_requested = false;
         m_received_bytes = 0;
         const time_point started_at = read_boot_clock();
-        const bool was_current = is_current;
-        bool ok = false;
-        if (!is_current) {
-            ok = co_await load_all();
-            is_current = ok;
+        const bool is_load = load_next;
+        if (is_load) {
+            outcome = co_await load_all(outcome == read_outcome::behind);
         }
         else {
-            ok = co_await wait_for_changes();
-            is_current = ok && !m_refresh_requested;
+            outcome = co_await wait_for_changes();
         }
-        if (ok) {
+        load_next = outcome != read_outcome::current || (!is_load && m_refresh_requested);
+        if (outcome != read_outcome::failed) {
             backoff.reset();
             continue;
         }
         const duration taken = read_boot_clock() - started_at;
         log_info("store: watch of prefix " + m_prefix + " failed and is retried: " + last_reason() +
-                 " step=" + (was_current ? "changes" : "load") + " after_ms=" +
+                 " step=" + (is_load ? "load" : "changes") + " after_ms=" +
                  std::to_string(std::chrono::duration_cast<milliseconds>(taken).count()) +
                  " received_bytes=" + std::to_string(m_received_bytes));
         m_retry_timer.expires_after(backoff.next());
@@ -88,7 +93,7 @@
     }
 }
 
-asio::awaitable<bool> prefix_watch::load_all()
+asio::awaitable<prefix_watch::read_outcome> prefix_watch::load_all(bool was_behind)
 {
     std::map<std::string, store_item> listed;
     revision as_of;
@@ -100,7 +105,7 @@
         m_received_bytes += answer.m_received_bytes;
         range_result page = platform::decode_range(answer);
         if (!page.m_ok) {
-            co_return false;
+            co_return read_outcome::failed;
         }
         if (as_of == revision{}) {
             as_of = page.m_as_of;
@@ -113,9 +118,10 @@
     }
     if (as_of < m_as_of) {
         fail("the store returned an older revision than a previous read");
-        co_return false;
+        co_return read_outcome::failed;
     }
     std::vector<std::string> changed;
+    std::size_t changed_bytes = 0;
     for (auto it = m_items.begin(); it != m_items.end();) {
         // A missing record that is newer than this read came from a peer and stays.
         if (!listed.contains(it->first) && it->second.m_revision <= as_of) {
@@ -130,16 +136,19 @@
         store_item& cached = m_items[key];
         if (cached.m_revision < item.m_revision) {
             cached = std::move(item);
+            changed_bytes += cached.m_value.size();
             changed.push_back(key);
         }
     }
     m_as_of = as_of;
     m_is_loaded = true;
     notify(changed);
-    co_return true;
+    // Changes that came during the last transfer suggest that there were more during this one.
+    co_return was_behind&& changed_bytes > max_superseded_bytes ? read_outcome::behind
+                                                                : read_outcome::current;
 }
 
-asio::awaitable<bool> prefix_watch::wait_for_changes()
+asio::awaitable<prefix_watch::read_outcome> prefix_watch::wait_for_changes()
 {
     const http_answer answer =
         co_await m_store.call(platform::encode_watch(m_prefix, m_as_of, watch_timeout),
@@ -147,15 +156,18 @@
     m_received_bytes += answer.m_received_bytes;
     range_result changes = platform::decode_watch(answer);
     if (!changes.m_ok) {
-        co_return false;
+        co_return read_outcome::failed;
     }
-    std::vector<std::string> changed;
+    std::set<std::string> changed;
+    std::size_t superseded_bytes = 0;
     for (store_item& item : changes.m_items) {
         const auto found = m_items.find(item.m_key);
         if (found != m_items.end() && found->second.m_revision >= item.m_revision) {
             continue;
         }
-        changed.push_back(item.m_key);
+        if (!changed.insert(item.m_key).second && found != m_items.end()) {
+            superseded_bytes += found->second.m_value.size();
+        }
         if (item.m_removed) {
             m_items.erase(item.m_key);
         }
@@ -165,8 +177,9 @@
         }
     }
     m_as_of = std::max(m_as_of, changes.m_as_of);
-    notify(changed);
-    co_return true;
+    notify({changed.begin(), changed.end()});
+    co_return superseded_bytes > max_superseded_bytes ? read_outcome::behind
+                                                      : read_outcome::current;
 }
 
 } // namespace guavabay
--- a/src/dispatch/prefix_watch.h
+++ b/src/dispatch/prefix_watch.h
@@ -10,8 +10,9 @@
 namespace guavabay {
 
 /// Keeps a local copy of all store records under a key prefix and follows changes by long polling.
-/// The copy never goes back to an older revision, even if a store replica returns stale data. Must
-/// be used on the thread that runs its io_context.
+/// While changes come faster than they can be received, the current records are read instead, which
+/// leaves out superseded versions. The copy never goes back to an older revision, even if a store
+/// replica returns stale data. Must be used on the thread that runs its io_context.
 class prefix_watch {
 public:
     /// Called after records were added, changed or removed, with their keys.
@@ -43,8 +44,16 @@
 
 private:
     asio::awaitable<void> run();
-    asio::awaitable<bool> load_all();
-    asio::awaitable<bool> wait_for_changes();
+    /// Outcome of one attempt to load the records or to receive changes.
+    enum class read_outcome : std::uint8_t {
+        failed,
+        current, ///< The copy holds all changes up to the answer.
+        behind,  ///< As current, but changes come faster than they can be received one by one.
+    };
+
+    /// Reads all records. A host that was behind stays so if they have changed much since.
+    asio::awaitable<read_outcome> load_all(bool was_behind);
+    asio::awaitable<read_outcome> wait_for_changes();
     void notify(const std::vector<std::string>& keys);
 
     asio::io_context& m_context;
--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -193,7 +193,7 @@
     const std::size_t before = watched.m_store.copies_sent(config_key);
     revision last = put_versions(1);
     std::size_t versions_written = 1;
-    for (int transfer = 1; transfer <= 3; ++transfer) {
+    for (int transfer = 1; transfer <= 5; ++transfer) {
         const std::size_t copies = watched.m_store.copies_sent(config_key);
         REQUIRE(run_until(watched.m_context, [&] {
             return watched.m_store.copies_sent(config_key) > copies || watched.has(last);
