Do not take refusals of the store for a transfer in progress

A host asks no peer for the configuration while the store is sending it an answer. The time of the last data also counted refusals (429, 503), which come at each retry, so a refused host whose relays fail as well could have waited for ever.

Only data of successful answers counts now. The new case "refusals of the store do not count as received data" failed before and passes now.

--- a/src/dispatch/prefix_watch.h
+++ b/src/dispatch/prefix_watch.h
@@ -35,7 +35,8 @@
     /// True once all records were loaded for the first time.
     [[nodiscard]] bool is_loaded() const { return m_is_loaded; }
 
-    /// Boot-clock time at which the store last sent a part of an answer directly to this host.
+    /// Boot-clock time at which the store last sent a part of a successful answer directly to this
+    /// host.
     [[nodiscard]] time_point last_received_at() const { return m_last_received_at; }
 
     /// Stores a record obtained by other means, such as from a peer, and calls the handler; does
--- a/src/dispatch/store_client.h
+++ b/src/dispatch/store_client.h
@@ -27,7 +27,7 @@
     /// that fails may precede the relayed one, so that the whole may take longer than the timeout.
     /// The timeout applies until an answer begins; an answer that keeps arriving is not abandoned.
     /// Failures are reported in the progress and status of the answer. Sets the time at which data
-    /// last arrived on a direct call, if it is asked for.
+    /// of a successful answer last arrived on a direct call, if it is asked for.
     asio::awaitable<http_answer> call(http_call store_request, milliseconds timeout,
                                       time_point* last_received_at = nullptr);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -98,7 +98,8 @@
         if (error) {
             co_return answer;
         }
-        if (last_received_at != nullptr) {
+        if (last_received_at != nullptr && parser.is_header_done() &&
+            parser.get().result() == http::status::ok) {
             *last_received_at = read_boot_clock();
         }
         if (max_pause) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -21,7 +21,7 @@
     /// Carries out a call, which has to be complete within the timeout. With a maximum pause the
     /// timeout only limits the time until the answer begins; the request and the answer may take
     /// as long as they make progress, with no pause longer than the maximum. Sets the time at which
-    /// data last arrived, if it is asked for.
+    /// data of a successful answer last arrived, if it is asked for.
     asio::awaitable<http_answer> call(ip_address address, http_call what, milliseconds timeout,
                                       std::optional<milliseconds> max_pause = std::nullopt,
                                       time_point* last_received_at = nullptr);
--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -170,6 +170,21 @@
     CHECK(run_until(watched.m_context, [&] { return watched.has(second); }));
 }
 
+// Guards against a host that asks no peer for the configuration, because it takes the refusals of
+// the store for a transfer in progress.
+TEST_CASE("refusals of the store do not count as received data", "[config_delivery]")
+{
+    watched_store watched;
+    watched.m_store.put(config_key, "{}");
+    watched.m_store.m_refuse_status = http_status::unavailable;
+    watched.m_watch.start();
+    REQUIRE(run_until(watched.m_context, [&] { return watched.m_client.call_count() >= 3; }));
+    CHECK(watched.m_watch.last_received_at() == time_point{});
+    watched.m_store.m_refuse_status = 0;
+    REQUIRE(run_until(watched.m_context, [&] { return watched.m_watch.is_loaded(); }));
+    CHECK(watched.m_watch.last_received_at() > time_point{});
+}
+
 // Guards against a host that falls further behind with each change, because it receives every
 // version since its last poll.
 TEST_CASE("a watch that has fallen behind skips superseded versions", "[config_delivery]")
