--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -91,7 +91,8 @@
 struct local_host {
     local_host(asio::io_context& context, const std::string& name, const ip_address& store,
                std::vector<std::string> seeds)
-        : m_peer_address(free_address(context)), m_readiness_address(free_address(context))
+        : m_peer_address(free_address(context)), m_readiness_address(free_address(context)),
+          m_metrics_address(free_address(context))
     {
         host_settings settings;
         settings.m_host = host_id(name);
@@ -99,6 +100,7 @@
         settings.m_caller_address = {m_peer_address.m_ip, 0};
         settings.m_readiness_address = m_readiness_address;
         settings.m_peer_address = m_peer_address;
+        settings.m_metrics_address = m_metrics_address;
         settings.m_store_address = store;
         settings.m_seeds = std::move(seeds);
         m_host = std::make_unique<dispatcher>(context, std::move(settings));
@@ -107,25 +109,26 @@
 
     ip_address m_peer_address;
     ip_address m_readiness_address;
+    ip_address m_metrics_address;
     std::unique_ptr<dispatcher> m_host;
 };
 
-/// Asks an entry host whether it is ready.
-bool is_ready(asio::io_context& context, http_client& http, const ip_address& readiness)
+/// Sends a GET request and returns the answer.
+http_answer get(asio::io_context& context, http_client& http, const ip_address& address,
+                const std::string& target)
 {
-    unsigned status = 0;
+    http_answer answer;
     bool answered = false;
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            http_call request{"GET", "/", {}, {}};
-            const http_answer answer =
-                co_await http.call(readiness, std::move(request), milliseconds(500));
-            status = answer.m_status;
+            http_call request{"GET", target, {}, {}};
+            answer = co_await http.call(address, std::move(request), milliseconds(500));
             answered = true;
         },
         asio::detached);
-    return run_until(context, [&] { return answered; }) && status == http_status::ok;
+    run_until(context, [&] { return answered; });
+    return answer;
 }
 
 } // namespace
@@ -270,8 +273,31 @@
     bool ready = false;
     const time_point end = read_clock() + patience;
     while (!ready && read_clock() < end) {
-        ready = is_ready(context, http, refused.m_readiness_address);
+        ready = get(context, http, refused.m_readiness_address, "/").m_status == http_status::ok;
         context.run_for(milliseconds(50));
     }
     CHECK(ready);
 }
+
+// The names are those of docs/OPERATIONS.md.
+TEST_CASE("metrics tell what arrived from the store and from peers", "[config_delivery]")
+{
+    asio::io_context context;
+    paced_store store(context);
+    store.put(config_key, make_config(1, 300));
+    const local_host first(context, "host-a", store.address(), {});
+    const local_host second(context, "host-b", store.address(), {to_text(first.m_peer_address)});
+    context.run_for(milliseconds(100));
+    http_client http(context, 1);
+    const std::string text = get(context, http, second.m_metrics_address, "/metrics").m_body;
+    const auto value = [&text](const std::string& name) {
+        const std::size_t at = text.find("\n" + name + " ");
+        REQUIRE(at != std::string::npos);
+        return std::stod(text.substr(at + name.size() + 2));
+    };
+    CHECK(value("guavabay_store_received_bytes_total") > 20'000);
+    CHECK(value("guavabay_peer_sent_total{message=\"greeting\"}") >= 1);
+    CHECK(value("guavabay_peer_sent_bytes_total{message=\"greeting\"}") > 0);
+    CHECK(value("guavabay_peer_received_total{message=\"relay_reply\"}") == 0);
+    CHECK(value("guavabay_peer_received_bytes_total{message=\"greeting\"}") < 20'000);
+}
