Spell out the outcome of a watch, and read a reply once

clang-format took 'was_behind && ...' for a reference; the linter found a moved value in a loop of the test macro. No change of behaviour: the cases of both files pass.

--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -144,8 +144,8 @@
     m_is_loaded = true;
     notify(changed);
     // Changes that came during the last transfer suggest that there were more during this one.
-    co_return was_behind&& changed_bytes > max_superseded_bytes ? read_outcome::behind
-                                                                : read_outcome::current;
+    const bool is_behind = was_behind && changed_bytes > max_superseded_bytes;
+    co_return is_behind ? read_outcome::behind : read_outcome::current;
 }
 
 asio::awaitable<prefix_watch::read_outcome> prefix_watch::wait_for_changes()
@@ -178,8 +178,8 @@
     }
     m_as_of = std::max(m_as_of, changes.m_as_of);
     notify({changed.begin(), changed.end()});
-    co_return superseded_bytes > max_superseded_bytes ? read_outcome::behind
-                                                      : read_outcome::current;
+    const bool is_behind = superseded_bytes > max_superseded_bytes;
+    co_return is_behind ? read_outcome::behind : read_outcome::current;
 }
 
 } // namespace guavabay
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -110,7 +110,7 @@
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
                  relay_request, greeting, owner_reply, cordon_reply, relay_reply>;
 
-/// Name of a message's kind, for metrics.
+/// Name of a message's kind, given as the index of the alternative, for metrics.
 std::string_view message_name(std::size_t kind);
 
 /// Encodes a message with its number as one frame, length included.
--- a/tests/peer/host_link_test.cpp
+++ b/tests/peer/host_link_test.cpp
@@ -182,6 +182,7 @@
                    asio::detached);
     relay_request large;
     large.m_body = std::string(7'000'000, 'x');
-    CHECK(call_once(linked.m_context, linked.m_link, linked.m_peer.address(), std::move(large),
-                    seconds(30), std::nullopt));
+    const auto reply = call_once(linked.m_context, linked.m_link, linked.m_peer.address(),
+                                 std::move(large), seconds(30), std::nullopt);
+    CHECK(reply);
 }
