--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -713,6 +713,11 @@
         timer.expires_after(poll);
         co_await timer.async_wait(to_coroutine(ignored));
     }
+    const duration waited = read_boot_clock() - started_at;
+    log_info("owner: releasing shard service=" + m_shard.m_service.str() + " waited_ms=" +
+             std::to_string(std::chrono::duration_cast<milliseconds>(waited).count()) + " orders=" +
+             std::to_string(m_orders_in_flight) + " writing=" + (m_writing ? "yes" : "no") +
+             " pending=" + std::to_string(m_shard.m_pending.m_entries.size()));
     if (m_stopped || !m_shard.m_loaded) {
         co_return;
     }
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -147,14 +147,20 @@
 
 unsigned paced_store::commit(const json::object& body, json::object& result)
 {
+    json::array items;
+    bool holds = true;
     for (const json::value& guard : body.at("expected-rev").as_array()) {
         const auto known = m_items.find(text_field(guard.as_object(), "key"));
         const std::int64_t current = known == m_items.end() ? 0 : known->second.m_revision.get();
-        if (current != number_field(guard.as_object(), "revision")) {
-            result["items"] = json::array();
-            return http_status::precondition_failed;
+        holds = holds && current == number_field(guard.as_object(), "revision");
+        if (known != m_items.end()) {
+            items.push_back(encode_item(known->second));
         }
     }
+    if (!holds) {
+        result["items"] = std::move(items);
+        return http_status::precondition_failed;
+    }
     for (const json::value& put : body.at("puts").as_array()) {
         const json::object& fields = put.as_object();
         write(text_field(fields, "key"), from_base64(text_field(fields, "value")).value(),
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -25,6 +25,9 @@
     /// Writes a record as the operator does, without a condition.
     revision put(const std::string& key, std::string value);
 
+    /// True if there is a record under a key.
+    [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
+
     /// Number of times a record's value was sent, complete or not.
     [[nodiscard]] std::size_t copies_sent(const std::string& key) const;
 
