Release a shard without waiting for its tasks to end

Cause: a release waits until nothing is to be written, but reports of workers were still taken, and their ends are log entries.

Now a releasing owner takes no more reports and plans no more rounds. An end that is not acknowledged is reported to the next owner again; leases of 3 s last far beyond a release. Submissions and cancellations that are under way are still written and answered.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -192,7 +192,7 @@
 
 void shard_owner::run_plan()
 {
-    if (m_stopped) {
+    if (m_stopped || m_releasing) {
         return;
     }
     update_permissions();
@@ -491,7 +491,7 @@
     m_hold_timers[worker] = &timer;
     retry_backoff pause(milliseconds(60), milliseconds(300));
     error_code ignored;
-    while (!m_stopped) {
+    while (!m_stopped && !m_releasing) {
         update_permissions();
         const std::optional<hold_request> request =
             next_hold_request(m_shard, worker, read_boot_clock());
@@ -511,7 +511,8 @@
         const http_answer answer = co_await m_dependencies.m_workers->call(
             *address, platform::encode_hold(*request, m_shard.m_token, wait),
             wait + hold_timeout_margin);
-        if (m_stopped) {
+        // Ends that are not acknowledged are reported again, to the next owner of the shard.
+        if (m_stopped || m_releasing) {
             break;
         }
         auto [report, outcome] = platform::decode_hold_answer(answer);
@@ -710,6 +711,7 @@
     };
     constexpr milliseconds poll{5};
     while (!m_stopped && busy() && read_boot_clock() - started_at < release_timeout) {
+        m_log_timer.cancel();
         timer.expires_after(poll);
         co_await timer.async_wait(to_coroutine(ignored));
     }
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -44,8 +44,8 @@
     /// Stops all activity at once. Callers that wait get the answer that the outcome is unknown.
     void stop();
 
-    /// Releases the shard in an orderly way: waits for open writes and orders, stores a closing log
-    /// entry and removes the owner record.
+    /// Releases the shard in an orderly way: takes no more calls and reports, waits for open writes
+    /// and orders, stores a closing log entry and removes the owner record.
     asio::awaitable<void> release();
 
     /// Sets the queues that the operator configured.
