Give up a shard whose closing log entry cannot be written

A queue of a stopped host could stay without an owner until the host's lease ended, 1.4 s more.

Cause: a release that reached its limit with a log write under way gave its closing entry the number of that write. The commit conflicted (outcome=1) and the owner record stayed. The same happened to an owner that was still loading its log: it never removed its record.

Now the closing entry is only written if no write or order is open. Otherwise, and after a conflict, the owner stops and removes its record alone, guarded by its token. The next owner does without the entry, as after a crash: it asks all workers that the log names.

In that case the wait before the release is now 300 ms: the former condition named a log record that is never written.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -415,12 +415,17 @@
     });
 }
 
-asio::awaitable<bool> shard_owner::write_batch(log_batch& batch)
+std::string shard_owner::next_log_key() const
 {
     char number[24];
     std::snprintf(number, sizeof number, "%012llu",
                   static_cast<unsigned long long>(m_next_log_number));
-    const std::string key = m_log_prefix + number;
+    return m_log_prefix + number;
+}
+
+asio::awaitable<bool> shard_owner::write_batch(log_batch& batch)
+{
+    const std::string key = next_log_key();
     store_commit commit;
     commit.m_guards.emplace_back(owner_key(m_shard.m_service), revision(m_shard.m_token.get()));
     commit.m_guards.emplace_back(key, revision());
@@ -720,25 +725,38 @@
              std::to_string(std::chrono::duration_cast<milliseconds>(waited).count()) + " orders=" +
              std::to_string(m_orders_in_flight) + " writing=" + (m_writing ? "yes" : "no") +
              " pending=" + std::to_string(m_shard.m_pending.m_entries.size()));
-    if (m_stopped || !m_shard.m_loaded) {
+    if (m_stopped) {
         co_return;
     }
-    char number[24];
-    std::snprintf(number, sizeof number, "%012llu",
-                  static_cast<unsigned long long>(m_next_log_number));
-    const std::string key = m_log_prefix + number;
-    store_commit commit;
+    // A closing entry would conflict with a write whose outcome is open.
+    commit_outcome outcome = commit_outcome::conflict;
+    if (m_shard.m_loaded && !busy()) {
+        outcome = co_await remove_owner_record(true);
+    }
+    stop();
+    if (outcome == commit_outcome::conflict) {
+        // The next owner does without the closing entry, as after a crash, but need not wait for
+        // the end of this host's lease.
+        outcome = co_await remove_owner_record(false);
+    }
+    log_info("owner: shard released service=" + m_shard.m_service.str() +
+             " outcome=" + std::to_string(static_cast<int>(outcome)));
+}
+
+asio::awaitable<commit_outcome> shard_owner::remove_owner_record(bool with_closing_entry)
+{
     const std::string record = owner_key(m_shard.m_service);
+    store_commit commit;
     commit.m_guards.emplace_back(record, revision(m_shard.m_token.get()));
-    commit.m_guards.emplace_back(key, revision());
-    commit.m_puts.push_back({key, encode_log({make_release_entry(m_shard)}), lease_id()});
     commit.m_removes.push_back(record);
+    if (with_closing_entry) {
+        const std::string key = next_log_key();
+        commit.m_guards.emplace_back(key, revision());
+        commit.m_puts.push_back({key, encode_log({make_release_entry(m_shard)}), lease_id()});
+    }
     const http_answer answer =
         co_await m_dependencies.m_store->call(platform::encode_commit(commit), write_timeout);
-    const commit_result result = platform::decode_commit(answer);
-    log_info("owner: shard released service=" + m_shard.m_service.str() +
-             " outcome=" + std::to_string(static_cast<int>(result.m_outcome)));
-    stop();
+    co_return platform::decode_commit(answer).m_outcome;
 }
 
 } // namespace guavabay
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -12,6 +12,7 @@
 #include "peer/host_message.h"
 #include "schedule/advice.h"
 #include "schedule/shard.h"
+#include "store/store_item.h"
 
 namespace guavabay {
 
@@ -45,7 +46,8 @@
     void stop();
 
     /// Releases the shard in an orderly way: takes no more calls and reports, waits for open writes
-    /// and orders, stores a closing log entry and removes the owner record.
+    /// and orders, stores a closing log entry and removes the owner record. If writes or orders
+    /// stay open, it only removes the owner record.
     asio::awaitable<void> release();
 
     /// Sets the queues that the operator configured.
@@ -108,6 +110,11 @@
     asio::awaitable<void> run_plan_loop();
     /// Writes pending log entries in batches.
     asio::awaitable<void> write_log_loop();
+    /// Store key of the next log record.
+    [[nodiscard]] std::string next_log_key() const;
+    /// Removes the owner record, so that another host can take the shard over; with a closing log
+    /// entry, both or neither.
+    asio::awaitable<commit_outcome> remove_owner_record(bool with_closing_entry);
     /// Writes a batch, with retries; false if the shard is lost or the owner was stopped.
     asio::awaitable<bool> write_batch(log_batch& batch);
     /// Withdraws the submissions accepted in entries that were surely not written.
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -271,7 +271,8 @@
     owned_shard owned;
     owned.m_store.m_stall = true;
     owned.submit();
-    owned.run_until([&] { return owned.m_store.contains("l/service-a/000000000002"); });
+    // Longer than the interval of writes, so that the one with the submission is under way.
+    owned.m_context.run_for(milliseconds(300));
     owned.release();
     CHECK(owned.run_until([&] { return !owned.m_store.contains(owner_key(service)); }));
 }
