--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -1,21 +1,22 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <unistd.h>
 
 #include "dispatch/dispatcher.h"
 #include "dispatch/prefix_watch.h"
 #include "net/http_status.h"
 #include "platform/operator_records.h"
+#include "support/loopback.h"
 #include "support/paced_store.h"
 
 using namespace guavabay;
 using guavabay::test::paced_store;
+using guavabay::test::run_until;
+using guavabay::test::wait_limit;
 
 namespace {
 
-/// Longest a case waits for something that has to happen.
-constexpr seconds patience{20};
-
 const std::string config_key(platform::config_key);
 
 /// Bandwidth of a link on which a value of `slow_value_bytes`, sent as base64, takes longer than
@@ -23,25 +24,24 @@
 constexpr std::size_t slow_link_bytes_per_s = 100'000;
 constexpr std::size_t slow_value_bytes = 220'000;
 
-/// Runs the context until a condition holds; false if it does not within the limit.
-template <typename Condition>
-bool run_until(asio::io_context& context, Condition condition, duration limit = patience)
+/// A free port on loopback, for servers whose address has to be known before they are created. Lies
+/// below the range of ports that other processes get for their connections.
+ip_address free_address(asio::io_context& context)
 {
-    const time_point end = read_clock() + limit;
-    while (!condition()) {
-        if (read_clock() > end) {
-            return false;
+    constexpr int first_port = 20000;
+    constexpr int port_count = 10000;
+    static int next = static_cast<int>(getpid()) * 16;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first_port + next++ % port_count);
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
+        asio::ip::tcp::acceptor probe(context, endpoint.protocol());
+        error_code error;
+        probe.set_option(asio::socket_base::reuse_address(true), error);
+        probe.bind(endpoint, error);
+        if (!error) {
+            return {endpoint.address(), port};
         }
-        context.run_for(milliseconds(5));
     }
-    return true;
-}
-
-/// A free port on loopback, for servers whose address has to be known before they are created.
-ip_address free_address(asio::io_context& context)
-{
-    const asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return {probe.local_endpoint().address(), probe.local_endpoint().port()};
 }
 
 std::string to_text(const ip_address& address)
@@ -73,6 +73,14 @@
     {
     }
 
+    /// Starts the watch with a configuration in the store; false if it is not loaded.
+    bool load(std::string config)
+    {
+        const revision written = m_store.put(config_key, std::move(config));
+        m_watch.start();
+        return run_until(m_context, [&] { return has(written); });
+    }
+
     /// True if the local copy holds this revision of the configuration or a newer one.
     [[nodiscard]] bool has(revision wanted) const
     {
@@ -147,9 +155,7 @@
 TEST_CASE("a change whose transfer outlasts the long poll is received", "[config_delivery]")
 {
     watched_store watched;
-    const revision first = watched.m_store.put(config_key, "{}");
-    watched.m_watch.start();
-    REQUIRE(run_until(watched.m_context, [&] { return watched.has(first); }));
+    REQUIRE(watched.load("{}"));
     watched.m_store.m_bytes_per_s = slow_link_bytes_per_s;
     const revision second = watched.m_store.put(config_key, std::string(slow_value_bytes, 'x'));
     CHECK(run_until(watched.m_context, [&] { return watched.has(second); }));
@@ -160,9 +166,7 @@
 TEST_CASE("a transfer that stalls is repeated on another connection", "[config_delivery]")
 {
     watched_store watched;
-    const revision first = watched.m_store.put(config_key, "{}");
-    watched.m_watch.start();
-    REQUIRE(run_until(watched.m_context, [&] { return watched.has(first); }));
+    REQUIRE(watched.load("{}"));
     watched.m_store.m_stall = true;
     const revision second = watched.m_store.put(config_key, std::string(slow_value_bytes, 'x'));
     REQUIRE(
@@ -202,9 +206,7 @@
         }
         return last;
     };
-    const revision first = put_versions(1);
-    watched.m_watch.start();
-    REQUIRE(run_until(watched.m_context, [&] { return watched.has(first); }));
+    REQUIRE(watched.load(std::string(value_bytes, 'x')));
     watched.m_store.m_bytes_per_s = slow_link_bytes_per_s * 2;
 
     // Changes come faster than the link can carry them: each transfer finds several new versions.
@@ -271,7 +273,7 @@
                              {to_text(served.m_peer_address)});
     http_client http(context, 1);
     bool ready = false;
-    const time_point end = read_clock() + patience;
+    const time_point end = read_clock() + wait_limit;
     while (!ready && read_clock() < end) {
         ready = get(context, http, refused.m_readiness_address, "/").m_status == http_status::ok;
         context.run_for(milliseconds(50));
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -8,17 +8,17 @@
 #include "dispatch/ownership.h"
 #include "dispatch/shard_owner.h"
 #include "net/http_status.h"
+#include "support/loopback.h"
 #include "support/paced_store.h"
 
 using namespace guavabay;
 using guavabay::test::paced_store;
+using guavabay::test::run_until;
 
 namespace json = boost::json;
 
 namespace {
 
-constexpr seconds patience{20};
-
 /// Number of workers, tasks that each has room for, and the time over which these end one after the
 /// other.
 constexpr std::uint32_t worker_count = 60;
@@ -36,7 +36,7 @@
 const queue_id queue("queue-a");
 const submission_id submission_name("0123456789abcdef");
 
-/// A worker on loopback that starts all that it is told to, and whose runs end evenly spread.
+/// A worker on loopback that carries out all orders, and whose runs end evenly spread.
 class spread_worker {
 public:
     spread_worker(asio::io_context& context, std::uint32_t index)
@@ -183,23 +183,10 @@
         contract.m_stretch_factor = 10;
         contract.m_target = seconds(10);
         m_owner->start({contract});
-        run_until([this] { return m_owner->state().m_loaded; });
+        run_until(m_context, [this] { return m_owner->state().m_loaded; });
         m_owner->set_workers(listings);
     }
 
-    template <typename Condition>
-    bool run_until(Condition condition)
-    {
-        const time_point end = read_clock() + patience;
-        while (!condition()) {
-            if (read_clock() > end) {
-                return false;
-            }
-            m_context.run_for(milliseconds(1));
-        }
-        return true;
-    }
-
     /// Submits one step of many tasks without waiting for the answer.
     void submit()
     {
@@ -255,11 +242,11 @@
 {
     owned_shard owned;
     owned.submit();
-    REQUIRE(owned.run_until([&] { return owned.started() == task_count; }));
+    REQUIRE(run_until(owned.m_context, [&] { return owned.started() == task_count; }));
     owned.m_store.m_bytes_per_s = slow_store_bytes_per_s;
-    REQUIRE(owned.run_until([&] { return owned.ended() >= task_count / 5; }));
+    REQUIRE(run_until(owned.m_context, [&] { return owned.ended() >= task_count / 5; }));
     owned.release();
-    REQUIRE(owned.run_until([&] { return !owned.m_owner->is_alive(); }));
+    REQUIRE(run_until(owned.m_context, [&] { return !owned.m_owner->is_alive(); }));
     CHECK_FALSE(owned.m_store.contains(owner_key(service)));
     CHECK(owned.ended() < task_count / 2);
 }
@@ -274,5 +261,5 @@
     // Longer than the interval of writes, so that the one with the submission is under way.
     owned.m_context.run_for(milliseconds(300));
     owned.release();
-    CHECK(owned.run_until([&] { return !owned.m_store.contains(owner_key(service)); }));
+    CHECK(run_until(owned.m_context, [&] { return !owned.m_store.contains(owner_key(service)); }));
 }
