Keep planning rounds from looking at everything each time

The forecast of incoming machines was computed anew, over all workers, for each submission of each ranking.

Rounds now skip steps without ready tasks (counted where phases change), keep the free capacity of candidates in one array, and check leases, stalls, moves of long-running tasks and paces every 20 ms or when a stop is due. Expired submissions are searched once a second, the pool's capacity is determined at most every 10 ms, and the pause between rankings grows with the open submissions. The spread of a long-running step over racks is counted from its own tasks instead of all workers.

--- a/bench/schedule_bench.cpp
+++ b/bench/schedule_bench.cpp
@@ -178,6 +178,9 @@
     ->Args({30, 150})
     ->Args({200, 70})
     ->Args({200, 150})
+    ->Args({1000, 70})
+    ->Args({1000, 150})
+    ->Args({5000, 70})
     ->Unit(benchmark::kMillisecond)
     ->Iterations(1);
 
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -13,18 +13,6 @@
 /// count as new arrivals.
 constexpr std::size_t max_remembered_refusals = 4096;
 
-/// Capacity of all workers that accept starts, in thousandths of a core.
-std::int64_t usable_cpu_millis(const shard& state, time_point now)
-{
-    std::int64_t sum = 0;
-    for (const auto& [id, worker] : state.m_workers) {
-        if (accepts_starts(*worker, now)) {
-            sum += worker->m_info.m_capacity.m_cpu_millis;
-        }
-    }
-    return sum;
-}
-
 bool is_long_running(const submission& what)
 {
     return std::any_of(what.m_steps.begin(), what.m_steps.end(),
@@ -83,16 +71,15 @@
     set_deadlines(state, *record);
 
     // Refuse work that the backlog would delay beyond its hard deadline.
-    const std::int64_t cores = usable_cpu_millis(state, now);
-    if (cores > 0 && !long_running && record->m_definition.m_repeat_count == 0) {
+    const pool_capacity& capacity = current_capacity(state, now);
+    if (capacity.m_usable_cores > 0 && !long_running && record->m_definition.m_repeat_count == 0) {
         double backlog = 0;
         for (const submission_record* open : state.m_open_submissions) {
             if (now < open->m_hard_deadline) {
                 backlog += open->m_remaining_core_ms;
             }
         }
-        const duration wait =
-            estimate_work_time(state, backlog, static_cast<double>(cores) / 1000.0, now);
+        const duration wait = estimate_work_time(capacity, backlog);
         if (now + wait > record->m_hard_deadline) {
             if (state.m_refused.size() >= max_remembered_refusals) {
                 state.m_refused.clear();
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -31,6 +31,9 @@
 /// Age at which the reported number of incoming machines is no longer used.
 constexpr milliseconds incoming_validity{1500};
 
+/// Age up to which the pool's capacity is not determined anew.
+constexpr milliseconds capacity_validity{10};
+
 /// Share of a machine's capacity that tasks of different sizes can fill.
 constexpr double packing_efficiency = 0.9;
 
@@ -68,17 +71,35 @@
 
 } // namespace
 
-double available_core_ms(const shard& state, double cores, time_point now, time_point until)
+const pool_capacity& current_capacity(shard& state, time_point now)
+{
+    pool_capacity& capacity = state.m_capacity;
+    if (now - capacity.m_at < capacity_validity) {
+        return capacity;
+    }
+    std::int64_t usable = 0;
+    for (const auto& [id, worker] : state.m_workers) {
+        usable += accepts_starts(*worker, now) ? worker->m_info.m_capacity.m_cpu_millis : 0;
+    }
+    capacity.m_usable_cores = static_cast<double>(usable) / 1000.0;
+    capacity.m_incoming_cores = incoming_cores(state, now);
+    capacity.m_at = now;
+    return capacity;
+}
+
+double available_core_ms(const pool_capacity& capacity, double cores, time_point now,
+                         time_point until)
 {
     const double left = std::max(0.0, to_milliseconds(until - now));
-    return cores * left + incoming_cores(state, now) * std::max(0.0, left - join_time_ms);
+    return cores * left + capacity.m_incoming_cores * std::max(0.0, left - join_time_ms);
 }
 
-duration estimate_work_time(const shard& state, double core_ms, double cores, time_point now)
+duration estimate_work_time(const pool_capacity& capacity, double core_ms)
 {
+    const double cores = capacity.m_usable_cores;
     double needed = core_ms / cores;
     if (needed > join_time_ms) {
-        const double incoming = incoming_cores(state, now);
+        const double incoming = capacity.m_incoming_cores;
         needed = (core_ms + incoming * join_time_ms) / (cores + incoming);
     }
     return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(needed));
@@ -135,7 +156,8 @@
     const double by_memory =
         (cores * memory_per_core + long_running_memory) / static_cast<double>(largest.m_memory_mb);
     // Each long-running task that fits on no worker is counted as one more machine.
-    return std::max(by_cores, by_memory) / packing_efficiency + state.m_unplaced_long_running;
+    return std::max(by_cores, by_memory) / packing_efficiency + state.m_unplaced_by_start +
+           state.m_unplaced_by_evacuation;
 }
 
 } // namespace guavabay
--- a/src/schedule/evacuation.cpp
+++ b/src/schedule/evacuation.cpp
@@ -53,7 +53,7 @@
         make_placement_request(state, *found.m_record, slot.m_task, *found.m_task);
     request.m_avoids_upkeep = !leaves_now;
     const bool has_room = choose_worker(state, candidates, request, "", now) != nullptr;
-    state.m_unplaced_long_running += has_room ? 0 : 1;
+    state.m_unplaced_by_evacuation += has_room ? 0 : 1;
     return has_room;
 }
 
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -18,13 +18,22 @@
 /// A long-running task that is not available within this time is restarted elsewhere.
 constexpr milliseconds long_running_stall_timeout{5000};
 
+/// Interval of checks that look at every run of every worker: leases, stalled runs, long-running
+/// tasks that have to leave their worker, and paces.
+constexpr milliseconds worker_review_interval{20};
+
+/// Interval of searches for submissions that are to be erased.
+constexpr milliseconds purge_interval{1000};
+
 /// Limit of workers reserved for tasks that don't fit now, per planning pass.
 constexpr std::size_t max_reserved_workers = 3;
 
 /// Reserves the resources of a run on a worker and queues its start order.
 void start_run(shard& state, const placement_request& request, scheduled_task& task,
-               worker_record& worker, run_number run, time_point now)
+               candidate_worker& candidate, run_number run, time_point now)
 {
+    worker_record& worker = *candidate.m_worker;
+    candidate.m_free = candidate.m_free - request.m_demand;
     run_slot slot;
     slot.m_task = request.m_name;
     slot.m_run = run;
@@ -40,7 +49,8 @@
     slot.m_declared_cpu = request.m_step->m_demand.m_cpu_millis;
     worker.m_reserved = worker.m_reserved + slot.m_reserved;
     worker.m_runs.emplace(std::pair(request.m_name, run), slot);
-    task.m_phase = task_phase::placed;
+    set_phase(request.m_record->m_occurrences[request.m_name.m_occurrence], request.m_name.m_step,
+              task, task_phase::placed);
     task.m_worker = &worker;
     task.m_run = run;
     task.m_available = false;
@@ -86,7 +96,7 @@
 }
 
 /// Starts all tasks of a gang together, in one rack if the step requires it, or none of them.
-void start_gang(shard& state, const candidate_workers& candidates, submission_record& record,
+void start_gang(shard& state, candidate_workers& candidates, submission_record& record,
                 std::uint32_t occurrence, std::uint32_t step_index, time_point now)
 {
     std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
@@ -107,24 +117,18 @@
         }
     }
     for (const std::string& rack : candidate_racks) {
-        // The trial reservations are rolled back below, so that a gang that does not fit as a whole
-        // takes no resources.
-        candidate_workers trial_candidates = candidates;
-        std::vector<worker_record*> chosen;
-        std::vector<resources> demands;
+        // A gang that does not fit as a whole takes no resources.
+        candidate_workers trial = candidates;
+        std::vector<std::ptrdiff_t> chosen; ///< Positions among the candidates.
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
             const placement_request request = make_placement_request(
                 state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            worker_record* worker = choose_worker(state, trial_candidates, request, rack, now);
-            if (worker == nullptr) {
+            candidate_worker* candidate = choose_worker(state, trial, request, rack, now);
+            if (candidate == nullptr) {
                 break;
             }
-            worker->m_reserved = worker->m_reserved + request.m_demand;
-            chosen.push_back(worker);
-            demands.push_back(request.m_demand);
-        }
-        for (std::size_t i = 0; i < chosen.size(); ++i) {
-            chosen[i]->m_reserved = chosen[i]->m_reserved - demands[i];
+            candidate->m_free = candidate->m_free - request.m_demand;
+            chosen.push_back(candidate - trial.m_workers.data());
         }
         if (chosen.size() < tasks.size()) {
             continue;
@@ -138,7 +142,8 @@
             tasks[i].m_checkpoint = checkpoint;
             const placement_request request = make_placement_request(
                 state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            start_run(state, request, tasks[i], *chosen[i], run, now);
+            start_run(state, request, tasks[i],
+                      candidates.m_workers[static_cast<std::size_t>(chosen[i])], run, now);
         }
         return;
     }
@@ -146,9 +151,8 @@
 
 /// Starts ready tasks in the ranking of submissions. After the first task of a step that finds no
 /// worker, the rest of the step is skipped.
-void start_ready_tasks(shard& state, time_point now, wall_time wall)
+void start_ready_tasks(shard& state, time_point now)
 {
-    (void)wall;
     candidate_workers candidates = find_candidate_workers(state, now);
     std::size_t reserved_workers = 0;
     for (submission_record* record : state.m_ranked) {
@@ -160,7 +164,7 @@
             }
             for (std::uint32_t step_index = 0; step_index < occurrence.m_steps.size();
                  ++step_index) {
-                if (occurrence.m_unfinished_tasks[step_index] == 0 ||
+                if (occurrence.m_ready_tasks[step_index] == 0 ||
                     !predecessors_done(record->m_definition.m_steps[step_index], occurrence)) {
                     continue;
                 }
@@ -170,13 +174,14 @@
                 }
                 for (std::uint32_t i = 0; i < occurrence.m_steps[step_index].size(); ++i) {
                     scheduled_task& task = occurrence.m_steps[step_index][i];
+                    ++state.m_tasks_examined;
                     if (!is_startable(state, task, now)) {
                         continue;
                     }
                     placement_request request = make_placement_request(
                         state, *record, {record->m_id, occurrence_index, step_index, i}, task);
                     request.m_avoids_upkeep = request.m_step->m_long_running;
-                    worker_record* worker = choose_worker(state, candidates, request, "", now);
+                    candidate_worker* worker = choose_worker(state, candidates, request, "", now);
                     if (worker == nullptr && request.m_avoids_upkeep) {
                         request.m_avoids_upkeep = false;
                         worker = choose_worker(state, candidates, request, "", now);
@@ -185,7 +190,7 @@
                         start_run(state, request, task, *worker, allocate_run_number(state), now);
                         continue;
                     }
-                    state.m_unplaced_long_running += request.m_step->m_long_running ? 1 : 0;
+                    state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
                     // A task that waits for its ticket reserves no worker.
                     if (reserved_workers < max_reserved_workers && !request.m_needs_ticket &&
                         reserve_worker(candidates, request)) {
@@ -198,49 +203,61 @@
     }
 }
 
-/// Ends the runs of workers whose lease has certainly expired, even on their slowest possible
+/// Ends the runs of a worker whose lease has certainly expired, even on its slowest possible
 /// clock, stops stalled runs, and queues stop orders that are due.
-void check_workers(shard& state, time_point now)
+void check_worker(shard& state, const worker_id& id, worker_record& worker, time_point now)
 {
-    for (const auto& [id, owned] : state.m_workers) {
-        worker_record& worker = *owned;
-        if (worker.m_answered && !worker.m_lease_ended && now > worker.m_lease_until) {
-            state.m_log_lines.push_back("worker's lease ended: worker=" + id.str() +
-                                        " runs=" + std::to_string(worker.m_runs.size()));
-            end_incarnation(state, worker, now, true);
+    if (worker.m_answered && !worker.m_lease_ended && now > worker.m_lease_until) {
+        state.m_log_lines.push_back("worker's lease ended: worker=" + id.str() +
+                                    " runs=" + std::to_string(worker.m_runs.size()));
+        end_incarnation(state, worker, now, true);
+    }
+    for (auto& [key, slot] : worker.m_runs) {
+        const bool stalled =
+            slot.m_phase == run_phase::running && slot.m_percent < 100 &&
+            now - slot.m_progress_at >
+                (slot.m_long_running ? long_running_stall_timeout : stall_timeout) &&
+            now - worker.m_last_heard_at < max_report_age && slot.m_pace == 100;
+        if (stalled) {
+            state.m_log_lines.push_back("run stands still: task=" + to_string(slot.m_task) +
+                                        " worker=" + id.str());
+            stop_run(state, worker, slot, false);
+            record_worker_failure(state, worker, now);
         }
-        for (auto& [key, slot] : worker.m_runs) {
-            const bool stalled =
-                slot.m_phase == run_phase::running && slot.m_percent < 100 &&
-                now - slot.m_progress_at >
-                    (slot.m_long_running ? long_running_stall_timeout : stall_timeout) &&
-                now - worker.m_last_heard_at < max_report_age && slot.m_pace == 100;
-            if (stalled) {
-                state.m_log_lines.push_back("run stands still: task=" + to_string(slot.m_task) +
-                                            " worker=" + id.str());
-                stop_run(state, worker, slot, false);
-                record_worker_failure(state, worker, now);
-            }
-            if (slot.m_phase != run_phase::stopping || slot.m_order_pending ||
-                slot.m_next_stop_at > now || !worker.m_answered || worker.m_lease_ended) {
-                continue;
-            }
-            slot.m_order_pending = true;
-            worker_order order;
-            order.m_kind = worker_order::kind::stop;
-            order.m_worker = id;
-            order.m_address = worker.m_info.m_address;
-            order.m_task = slot.m_task;
-            order.m_run = slot.m_run;
-            state.m_orders.push_back(std::move(order));
+        if (slot.m_phase != run_phase::stopping || slot.m_order_pending ||
+            slot.m_next_stop_at > now || !worker.m_answered || worker.m_lease_ended) {
+            continue;
+        }
+        slot.m_order_pending = true;
+        worker_order order;
+        order.m_kind = worker_order::kind::stop;
+        order.m_worker = id;
+        order.m_address = worker.m_info.m_address;
+        order.m_task = slot.m_task;
+        order.m_run = slot.m_run;
+        state.m_orders.push_back(std::move(order));
+    }
+}
+
+/// Checks the workers that may need a stop order, or all workers.
+void check_workers(shard& state, bool all, time_point now)
+{
+    for (const auto& [id, worker] : state.m_workers) {
+        if (all || worker->m_stop_due) {
+            worker->m_stop_due = false;
+            check_worker(state, id, *worker, now);
         }
     }
 }
 
 /// Erases submissions that closed more than twice the status retention ago and whose final state is
 /// visible to callers.
-void erase_expired_submissions(shard& state, wall_time wall)
+void erase_expired_submissions(shard& state, time_point now, wall_time wall)
 {
+    if (now < state.m_next_purge) {
+        return;
+    }
+    state.m_next_purge = now + purge_interval;
     const std::int64_t cutoff_ms = unix_ms(wall) - 2 * state.m_bounds.m_status_retention.count();
     for (auto it = state.m_submissions.begin(); it != state.m_submissions.end();) {
         const submission_record& record = *it->second;
@@ -302,17 +319,24 @@
     if (!state.m_loaded || state.m_lost) {
         return;
     }
-    state.m_unplaced_long_running = 0;
-    if (state.m_may_start) {
-        evacuate(state, now);
+    const bool review = now - state.m_workers_reviewed_at >= worker_review_interval;
+    if (review) {
+        state.m_workers_reviewed_at = now;
+        state.m_unplaced_by_evacuation = 0;
+        if (state.m_may_start) {
+            evacuate(state, now);
+        }
     }
-    check_workers(state, now);
+    check_workers(state, review, now);
     rank_submissions(state, now, wall);
+    state.m_unplaced_by_start = 0;
     if (state.m_may_start && state.m_takeover_stored) {
-        start_ready_tasks(state, now, wall);
+        start_ready_tasks(state, now);
+    }
+    if (review) {
+        adjust_paces(state, now);
     }
-    adjust_paces(state, now);
-    erase_expired_submissions(state, wall);
+    erase_expired_submissions(state, now, wall);
 }
 
 } // namespace guavabay
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// Minimum time between two rankings: without changes, and after submissions changed.
+/// Minimum time between two rankings: without changes, and after submissions changed. It grows with
+/// the number of open submissions, because a ranking looks at all of them.
 constexpr milliseconds rank_interval{40};
 constexpr milliseconds changed_rank_interval{8};
+constexpr microseconds rank_interval_per_submission{20};
 
 /// Share of the cores that is planned for work with a deadline. The rest covers run times that
 /// differ from their estimates and capacity that packing leaves unused; see the overload replay in
@@ -23,12 +25,14 @@
     bool m_long_running = false;
 };
 
+/// Measures the unfinished part of an occurrence; `ends` is reused between calls.
 remaining_work measure_remaining(const shard& state, const submission_record& record,
-                                 const occurrence_state& occurrence)
+                                 const occurrence_state& occurrence,
+                                 std::vector<milliseconds>& ends)
 {
     remaining_work left;
     const std::vector<submission_step>& steps = record.m_definition.m_steps;
-    std::vector<milliseconds> ends(steps.size());
+    ends.assign(steps.size(), milliseconds(0));
     for (std::size_t i = 0; i < steps.size(); ++i) {
         left.m_long_running = left.m_long_running || steps[i].m_long_running;
         milliseconds begin{0};
@@ -61,9 +65,10 @@
 
 /// Demotes the largest submissions of a tier until the remaining ones can all meet their deadlines
 /// with the available cores when they run in deadline order (Moore-Hodgson algorithm).
-void demote_overload(const shard& state, std::vector<ranked_submission>& items, int from, int to,
+void demote_overload(shard& state, std::vector<ranked_submission>& items, int from, int to,
                      double cores, time_point now)
 {
+    const pool_capacity& capacity = current_capacity(state, now);
     std::vector<ranked_submission*> sorted;
     for (ranked_submission& item : items) {
         if (item.m_tier == from) {
@@ -84,7 +89,7 @@
         kept.push(item);
         work += item->m_remaining.m_core_ms;
         const double room =
-            plannable_core_share * available_core_ms(state, cores, now, item->m_deadline);
+            plannable_core_share * available_core_ms(capacity, cores, now, item->m_deadline);
         while (work > room && !kept.empty()) {
             ranked_submission* largest = kept.top();
             kept.pop();
@@ -98,7 +103,10 @@
 
 void rank_submissions(shard& state, time_point now, wall_time wall)
 {
-    if (now - state.m_ranked_at < (state.m_ranking_stale ? changed_rank_interval : rank_interval)) {
+    const duration interval =
+        (state.m_ranking_stale ? changed_rank_interval : rank_interval) +
+        static_cast<std::int64_t>(state.m_open_submissions.size()) * rank_interval_per_submission;
+    if (now - state.m_ranked_at < interval) {
         return;
     }
     state.m_ranking_stale = false;
@@ -117,6 +125,7 @@
     }
     std::vector<ranked_submission> items;
     items.reserve(state.m_open_submissions.size());
+    std::vector<milliseconds> step_ends;
     for (submission_record* record : state.m_open_submissions) {
         // No task starts before its submission is stored: a later owner would not know about it.
         if (record->m_cancel_requested || !record->m_accept_stored) {
@@ -135,7 +144,7 @@
             if (occurrence.m_done) {
                 continue;
             }
-            const remaining_work left = measure_remaining(state, *record, occurrence);
+            const remaining_work left = measure_remaining(state, *record, occurrence, step_ends);
             if (!any) {
                 item.m_remaining = left;
                 if (record->m_definition.m_repeat_count > 0) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -108,6 +108,7 @@
                        found.m_task->m_phase == task_phase::blocked;
     }
     worker.m_reserved = worker.m_reserved + slot.m_reserved;
+    worker.m_unknown_demands += slot.m_unknown_demand ? 1 : 0;
     run_slot& added =
         worker.m_runs.insert_or_assign({reported.m_task, reported.m_run}, slot).first->second;
     if (!is_adoptable) {
@@ -116,7 +117,7 @@
     }
     // A run that is stopped below still occupies its task, so that no second run starts beside it.
     scheduled_task& task = *found.m_task;
-    task.m_phase = task_phase::placed;
+    set_phase(*found.m_occurrence, found.m_step, task, task_phase::placed);
     task.m_worker = &worker;
     task.m_run = reported.m_run;
     task.m_checkpoint = reported.m_checkpoint;
@@ -173,7 +174,7 @@
     const submission_step& step = record.m_definition.m_steps[end.m_task.m_step];
     scheduled_task& task = *found.m_task;
     if (current) {
-        make_ready(state, task,
+        make_ready(state, found,
                    now + (step.m_long_running ? long_running_retry_delay : retry_delay));
     }
     task.m_failed_on = worker.m_info.m_id;
@@ -214,8 +215,7 @@
                                     " how=" + std::to_string(static_cast<int>(end.m_outcome)));
     }
     if (slot != nullptr) {
-        worker.m_reserved = worker.m_reserved - slot->m_reserved;
-        worker.m_runs.erase({end.m_task, end.m_run});
+        erase_run(worker, worker.m_runs.find({end.m_task, end.m_run}));
     }
     if (found.m_task == nullptr) {
         return;
@@ -236,7 +236,7 @@
     case run_end::gang_broken:
     case run_end::gang_incomplete:
         if (current) {
-            make_ready(state, *found.m_task, now);
+            make_ready(state, found, now);
         }
         return;
     }
@@ -269,9 +269,10 @@
 
 } // namespace
 
-void make_ready(shard& state, scheduled_task& task, time_point not_before)
+void make_ready(shard& state, const found_task& found, time_point not_before)
 {
-    task.m_phase = task_phase::ready;
+    scheduled_task& task = *found.m_task;
+    set_phase(*found.m_occurrence, found.m_step, task, task_phase::ready);
     task.m_worker = nullptr;
     task.m_not_before = not_before;
     if (task.m_available) {
@@ -295,10 +296,17 @@
 {
     const found_task found = find_task(state, slot.m_task);
     if (is_current(worker, found, slot.m_run)) {
-        make_ready(state, *found.m_task, not_before);
+        make_ready(state, found, not_before);
     }
-    worker.m_reserved = worker.m_reserved - slot.m_reserved;
-    worker.m_runs.erase({slot.m_task, slot.m_run});
+    erase_run(worker, worker.m_runs.find({slot.m_task, slot.m_run}));
+}
+
+std::map<std::pair<task_name, run_number>, run_slot>::iterator
+erase_run(worker_record& worker, std::map<std::pair<task_name, run_number>, run_slot>::iterator run)
+{
+    worker.m_reserved = worker.m_reserved - run->second.m_reserved;
+    worker.m_unknown_demands -= run->second.m_unknown_demand ? 1 : 0;
+    return worker.m_runs.erase(run);
 }
 
 void stop_run(shard& state, worker_record& worker, run_slot& slot, bool detach)
@@ -309,6 +317,7 @@
         found.m_task->m_available = false;
     }
     slot.m_detached = slot.m_detached || detach;
+    worker.m_stop_due = true;
     if (slot.m_phase != run_phase::stopping) {
         slot.m_phase = run_phase::stopping;
         slot.m_stop_retry_delay = milliseconds(0);
@@ -333,10 +342,10 @@
     }
     const submission_step& step = record.m_definition.m_steps[name.m_step];
     if (step.m_long_running) {
-        make_ready(state, task, task.m_not_before);
+        make_ready(state, found, task.m_not_before);
         return;
     }
-    task.m_phase = task_phase::done;
+    set_phase(occurrence, name.m_step, task, task_phase::done);
     task.m_worker = nullptr;
     task.m_checkpoint.clear();
     --occurrence.m_unfinished_tasks[name.m_step];
@@ -513,6 +522,7 @@
         end_incarnation(state, worker, now, false);
         worker.m_runs.clear();
         worker.m_reserved = {};
+        worker.m_unknown_demands = 0;
         worker.m_answered = false;
         if (worker.m_listed) {
             worker.m_listed = false;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -71,7 +71,7 @@
         return;
     }
     if (task.m_task->m_phase != task_phase::done) {
-        task.m_task->m_phase = task_phase::done;
+        set_phase(occurrence, entry.m_task.m_step, *task.m_task, task_phase::done);
         --occurrence.m_unfinished_tasks[entry.m_task.m_step];
         unblock_steps(record, occurrence);
     }
@@ -113,7 +113,15 @@
         name.m_index >= occurrence.m_steps[name.m_step].size()) {
         return {};
     }
-    return {&record, &occurrence.m_steps[name.m_step][name.m_index]};
+    return {&record, &occurrence, name.m_step, &occurrence.m_steps[name.m_step][name.m_index]};
+}
+
+void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
+               task_phase phase)
+{
+    occurrence.m_ready_tasks[step] -= task.m_phase == task_phase::ready ? 1 : 0;
+    occurrence.m_ready_tasks[step] += phase == task_phase::ready ? 1 : 0;
+    task.m_phase = phase;
 }
 
 const queue_contract& contract_of(const shard& state, const submission_record& record)
@@ -148,6 +156,7 @@
     for (const submission_step& step : record.m_definition.m_steps) {
         occurrence.m_steps.emplace_back(step.m_task_count);
         occurrence.m_unfinished_tasks.push_back(step.m_task_count);
+        occurrence.m_ready_tasks.push_back(0);
     }
     unblock_steps(record, occurrence);
 }
@@ -164,7 +173,7 @@
         }
         for (scheduled_task& task : occurrence.m_steps[i]) {
             if (task.m_phase == task_phase::blocked) {
-                task.m_phase = task_phase::ready;
+                set_phase(occurrence, static_cast<std::uint32_t>(i), task, task_phase::ready);
             }
         }
     }
@@ -241,18 +250,18 @@
         const found_task found = find_task(state, slot.m_task);
         if (found.m_task != nullptr && !slot.m_detached && found.m_task->m_worker == &worker &&
             found.m_task->m_run == slot.m_run) {
-            make_ready(state, *found.m_task, now);
+            make_ready(state, found, now);
         }
         const bool may_come_late =
             slot.m_phase != run_phase::running && now - slot.m_ordered_at < late_order_window;
         if (keep_unanswered && may_come_late) {
             slot.m_detached = true;
             slot.m_phase = run_phase::stopping;
+            worker.m_stop_due = true;
             ++it;
             continue;
         }
-        worker.m_reserved = worker.m_reserved - slot.m_reserved;
-        it = worker.m_runs.erase(it);
+        it = erase_run(worker, it);
     }
     state.m_awaited_workers.erase(worker.m_info.m_id);
     worker.m_lease_ended = true;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -15,6 +15,7 @@
 #include "submission/submission.h"
 #include "submission/submission_log.h"
 #include "worker/worker.h"
+#include "worker/worker_order.h"
 
 namespace guavabay {
 
@@ -75,6 +76,7 @@
     bool m_done = false;
     std::vector<std::vector<scheduled_task>> m_steps;
     std::vector<std::uint32_t> m_unfinished_tasks; ///< Per step: tasks that are not done.
+    std::vector<std::uint32_t> m_ready_tasks;      ///< Per step: tasks in the phase ready.
 };
 
 /// An accepted submission. After its final state is decided it is kept for status queries.
@@ -151,6 +153,8 @@
     std::int64_t m_stored_end = 0; ///< Number of the newest end that is durable in the log.
     resources m_reserved;          ///< Sum over all runs.
     std::map<std::pair<task_name, run_number>, run_slot> m_runs;
+    std::uint32_t m_unknown_demands = 0; ///< Runs whose demand is not known.
+    bool m_stop_due = false;             ///< A stop order may be due before the next review.
     std::uint32_t m_consecutive_failures = 0;
     time_point m_quarantined_until{};  ///< Before it the worker gets no start.
     milliseconds m_quarantine_time{0}; ///< Length of the last quarantine; grows with each.
@@ -162,29 +166,6 @@
     bool m_gone = false; ///< The incarnation is over; the record is removed once unreferenced.
 };
 
-/// An order to a worker to start or stop a run or to change its pace.
-struct worker_order {
-    enum class kind : std::uint8_t { start, stop, pace };
-    kind m_kind = kind::start;
-    worker_id m_worker;
-    std::string m_address;
-    task_name m_task;
-    run_number m_run;
-    std::string m_spec;
-    std::string m_checkpoint;
-    std::string m_ticket;
-    std::int64_t m_deadline_ms = 0; ///< For a start: end of the lease, on the worker's clock.
-    std::int32_t m_percent = 0;     ///< For a pace order: percent of full speed.
-};
-
-/// A request to a worker that renews its lease and returns the state of its runs.
-struct hold_request {
-    worker_id m_worker;
-    std::string m_address;
-    std::optional<std::int64_t> m_deadline_ms; ///< On the worker's clock; empty renews nothing.
-    std::int64_t m_acked_through = 0;          ///< Ends up to this number need no repetition.
-};
-
 /// Entries that one write appends to the submission log.
 struct log_batch {
     std::uint64_t m_number = 0;
@@ -217,6 +198,13 @@
     time_point m_at{};          ///< When the sums were last updated.
 };
 
+/// Cores that a pool offers, as last determined.
+struct pool_capacity {
+    double m_usable_cores = 0;   ///< Of the workers that accept starts.
+    double m_incoming_cores = 0; ///< Of the machines that are being moved to the pool.
+    time_point m_at{};           ///< When it was determined.
+};
+
 /// Outcome of the admission check of a submission.
 enum class admission : std::uint8_t { accepted, already_stored, refused };
 
@@ -262,14 +250,20 @@
     bool m_evacuate = false;                   ///< Cordoned machines must be free soon.
     std::uint32_t m_incoming_machines = 0;     ///< Machines that are being moved to the pool.
     time_point m_incoming_updated_at{};        ///< When that number was received.
-    std::uint32_t m_unplaced_long_running = 0; ///< Found no worker in the last plan.
-    std::uint64_t m_starts = 0;                ///< Metric: start orders.
-    std::uint64_t m_candidates = 0;            ///< Metric: workers examined for placement.
-    std::uint64_t m_ends_done = 0;             ///< Metric: runs that ended successfully.
-    std::uint64_t m_ends_other = 0;            ///< Metric: runs that ended otherwise.
-    bool m_ranking_stale = true;               ///< Submissions have changed since the last ranking.
+    std::uint32_t m_unplaced_by_start =
+        0; ///< Long-running tasks without a worker in the last plan.
+    std::uint32_t m_unplaced_by_evacuation = 0; ///< The same in the last review, of tasks to move.
+    std::uint64_t m_starts = 0;                 ///< Metric: start orders.
+    std::uint64_t m_candidates = 0;             ///< Metric: workers examined for placement.
+    std::uint64_t m_tasks_examined = 0;         ///< Metric: tasks examined for a start.
+    std::uint64_t m_ends_done = 0;              ///< Metric: runs that ended successfully.
+    std::uint64_t m_ends_other = 0;             ///< Metric: runs that ended otherwise.
+    bool m_ranking_stale = true; ///< Submissions have changed since the last ranking.
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
+    time_point m_workers_reviewed_at{}; ///< When all workers and their runs were last checked.
+    time_point m_next_purge{};          ///< Earliest next search for expired submissions.
+    pool_capacity m_capacity;
     std::vector<std::string> m_log_lines; ///< Log messages for the caller to write.
 };
 
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -9,13 +9,19 @@
 /// A submission and one of its tasks.
 struct found_task {
     submission_record* m_record = nullptr;
+    occurrence_state* m_occurrence = nullptr;
+    std::uint32_t m_step = 0;
     scheduled_task* m_task = nullptr;
 };
 
-/// Finds a task; both pointers are null if it does not exist or its submission's final state is
+/// Finds a task; all pointers are null if it does not exist or its submission's final state is
 /// decided.
 found_task find_task(shard& state, const task_name& name);
 
+/// Moves a task of a step to another phase and keeps the step's count of ready tasks.
+void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
+               task_phase phase);
+
 /// The contract of a submission's queue, or a default one if the configuration no longer has the
 /// queue.
 const queue_contract& contract_of(const shard& state, const submission_record& record);
@@ -39,7 +45,7 @@
 std::uint32_t occurrence_count(const submission& what);
 
 /// Returns a placed task to the ready tasks; it starts again no earlier than `not_before`.
-void make_ready(shard& state, scheduled_task& task, time_point not_before);
+void make_ready(shard& state, const found_task& found, time_point not_before);
 
 /// Records a failed run of a task. Workers repeat reports, so a run counts once; true for its first
 /// report.
@@ -49,6 +55,11 @@
 /// becomes ready again.
 void free_slot(shard& state, worker_record& worker, const run_slot& slot, time_point not_before);
 
+/// Removes a run from its worker and releases its capacity; returns the next run.
+std::map<std::pair<task_name, run_number>, run_slot>::iterator
+erase_run(worker_record& worker,
+          std::map<std::pair<task_name, run_number>, run_slot>::iterator run);
+
 /// Marks a run for stop orders. A detached run's task does not wait for the run's end.
 void stop_run(shard& state, worker_record& worker, run_slot& slot, bool detach);
 
@@ -89,13 +100,17 @@
 /// again.
 void record_arrival(shard& state, const submission& what, time_point now);
 
-/// Core-milliseconds that a pool offers until a moment, including machines that are being moved to
-/// it.
-double available_core_ms(const shard& state, double cores, time_point now, time_point until);
+/// The pool's capacity, determined anew if the last result is older than a few milliseconds.
+const pool_capacity& current_capacity(shard& state, time_point now);
+
+/// Core-milliseconds that `cores` cores and the machines that are being moved to the pool offer
+/// until a moment.
+double available_core_ms(const pool_capacity& capacity, double cores, time_point now,
+                         time_point until);
 
-/// Time that a pool with `cores` cores, plus the machines that are being moved to it, needs for an
-/// amount of work in core-milliseconds.
-duration estimate_work_time(const shard& state, double core_ms, double cores, time_point now);
+/// Time that the pool, including the machines that are being moved to it, needs for an amount of
+/// work in core-milliseconds.
+duration estimate_work_time(const pool_capacity& capacity, double core_ms);
 
 /// Moves long-running tasks off workers that drain, are cordoned or will be. Other tasks are
 /// stopped only on cordoned workers whose machines are needed soon.
--- a/src/schedule/worker_choice.cpp
+++ b/src/schedule/worker_choice.cpp
@@ -48,17 +48,16 @@
     });
 }
 
-/// Counts the runs in a worker's rack that belong to the same step and occurrence as a task.
-std::uint32_t count_step_runs_in_rack(const shard& state, const worker_record& worker,
-                                      const task_name& name)
+/// Counts the tasks of a request's step and occurrence that are placed in a worker's rack.
+std::uint32_t count_step_tasks_in_rack(const placement_request& request,
+                                       const worker_record& worker)
 {
-    std::uint32_t count = 0;
-    for (const auto& [id, other] : state.m_workers) {
-        if (other->m_info.m_rack == worker.m_info.m_rack) {
-            count += count_step_runs(*other, name);
-        }
-    }
-    return count;
+    const std::vector<scheduled_task>& tasks =
+        request.m_record->m_occurrences[request.m_name.m_occurrence].m_steps[request.m_name.m_step];
+    return static_cast<std::uint32_t>(
+        std::count_if(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
+            return task.m_worker != nullptr && task.m_worker->m_info.m_rack == worker.m_info.m_rack;
+        }));
 }
 
 /// True when the worker would run tasks with a latency target beside tasks that use idle cores; the
@@ -72,13 +71,6 @@
     });
 }
 
-/// True when the resource demands of all runs on a worker are known.
-bool reservations_are_known(const worker_record& worker)
-{
-    return std::none_of(worker.m_runs.begin(), worker.m_runs.end(),
-                        [](const auto& entry) { return entry.second.m_unknown_demand; });
-}
-
 /// True when a demand that is no larger has already fitted on no worker in this pass.
 bool is_unplaceable(const candidate_workers& candidates, const resources& demand)
 {
@@ -105,9 +97,10 @@
 }
 
 /// Cost of running a task on a worker, in multiples of its run time; lower is better.
-double placement_cost(const shard& state, const worker_record& worker,
+double placement_cost(const shard& state, const candidate_worker& candidate,
                       const placement_request& request)
 {
+    const worker_record& worker = *candidate.m_worker;
     const submission_step& step = *request.m_step;
     const bool is_remote =
         !step.m_data_rack.empty() && worker.m_info.m_rack.str() != step.m_data_rack;
@@ -118,14 +111,14 @@
     }
     const auto capacity =
         static_cast<double>(std::max<std::int64_t>(1, worker.m_info.m_capacity.m_cpu_millis));
-    const auto reserved = static_cast<double>(worker.m_reserved.m_cpu_millis);
+    const auto free = static_cast<double>(candidate.m_free.m_cpu_millis);
     if (step.m_long_running) {
-        cost += weight_same_rack * count_step_runs_in_rack(state, worker, request.m_name);
+        cost += weight_same_rack * count_step_tasks_in_rack(request, worker);
         cost += weight_same_worker * count_step_runs(worker, request.m_name);
         cost += has_interference(worker, step) ? weight_interference : 0;
     }
     // Prefer fuller workers, so that whole machines stay free for large tasks and other pools.
-    cost += weight_free_cores * (1 - reserved / capacity);
+    cost += weight_free_cores * free / capacity;
     return cost;
 }
 
@@ -135,21 +128,23 @@
 {
     candidate_workers candidates;
     for (const auto& [id, worker] : state.m_workers) {
-        if (accepts_starts(*worker, now) && reservations_are_known(*worker)) {
-            candidates.m_workers.push_back(worker.get());
+        // Beside a run of unknown size no capacity is known to be free.
+        if (worker->m_unknown_demands == 0 && accepts_starts(*worker, now)) {
+            candidates.m_workers.push_back(
+                {worker->m_info.m_capacity - worker->m_reserved, worker.get()});
         }
     }
     return candidates;
 }
 
-worker_record* choose_worker(shard& state, candidate_workers& candidates,
-                             const placement_request& request, const std::string& required_rack,
-                             time_point now)
+candidate_worker* choose_worker(shard& state, candidate_workers& candidates,
+                                const placement_request& request, const std::string& required_rack,
+                                time_point now)
 {
     if (is_unplaceable(candidates, request.m_demand)) {
         return nullptr;
     }
-    worker_record* best = nullptr;
+    candidate_worker* best = nullptr;
     double best_cost = 0;
     bool any_fits = false;
     const submission_step& step = *request.m_step;
@@ -159,12 +154,12 @@
             std::chrono::duration_cast<duration>(request.m_expected_duration *
                                                  (state.m_bounds.m_remote_factor - 1));
     state.m_candidates += candidates.m_workers.size();
-    for (worker_record* candidate : candidates.m_workers) {
-        worker_record& worker = *candidate;
-        if (!fits(request.m_demand, worker.m_info.m_capacity - worker.m_reserved)) {
+    for (candidate_worker& candidate : candidates.m_workers) {
+        if (!fits(request.m_demand, candidate.m_free)) {
             continue;
         }
         any_fits = true;
+        const worker_record& worker = *candidate.m_worker;
         if (!satisfies_constraints(worker, request) || !has_ticket(state, worker, request, now)) {
             continue;
         }
@@ -172,9 +167,9 @@
             (!required_rack.empty() && worker.m_info.m_rack.str() != required_rack)) {
             continue;
         }
-        const double cost = placement_cost(state, worker, request);
+        const double cost = placement_cost(state, candidate, request);
         if (best == nullptr || cost < best_cost) {
-            best = &worker;
+            best = &candidate;
             best_cost = cost;
         }
     }
@@ -186,14 +181,12 @@
 
 bool reserve_worker(candidate_workers& candidates, const placement_request& request)
 {
-    const auto free_cpu_millis = [](const worker_record* worker) {
-        return (worker->m_info.m_capacity - worker->m_reserved).m_cpu_millis;
-    };
     auto best = candidates.m_workers.end();
     for (auto it = candidates.m_workers.begin(); it != candidates.m_workers.end(); ++it) {
-        if (fits(request.m_demand, (*it)->m_info.m_capacity) &&
-            satisfies_constraints(**it, request) &&
-            (best == candidates.m_workers.end() || free_cpu_millis(*it) > free_cpu_millis(*best))) {
+        if (fits(request.m_demand, it->m_worker->m_info.m_capacity) &&
+            satisfies_constraints(*it->m_worker, request) &&
+            (best == candidates.m_workers.end() ||
+             it->m_free.m_cpu_millis > best->m_free.m_cpu_millis)) {
             best = it;
         }
     }
--- a/src/schedule/worker_choice.h
+++ b/src/schedule/worker_choice.h
@@ -5,10 +5,16 @@
 // Choice of a worker for a task. Internal to the schedule package.
 namespace guavabay {
 
+/// A worker that accepts starts, with its free capacity in the current planning pass.
+struct candidate_worker {
+    resources m_free;
+    worker_record* m_worker = nullptr;
+};
+
 /// Workers that accept starts, collected once per planning pass. Free capacity only shrinks during
 /// a pass, so a demand that fitted on no worker is not tried again.
 struct candidate_workers {
-    std::vector<worker_record*> m_workers;
+    std::vector<candidate_worker> m_workers;
     std::vector<resources> m_unplaceable; ///< Demands that fit on no worker.
 };
 
@@ -32,10 +38,11 @@
                                          const task_name& name, const scheduled_task& task);
 
 /// Chooses the worker with the lowest placement cost that has capacity for the task and meets its
-/// constraints; null when there is none. An empty `required_rack` admits all racks.
-worker_record* choose_worker(shard& state, candidate_workers& candidates,
-                             const placement_request& request, const std::string& required_rack,
-                             time_point now);
+/// constraints; null when there is none. An empty `required_rack` admits all racks. The caller
+/// reduces the free capacity of the result if it starts the task there.
+candidate_worker* choose_worker(shard& state, candidate_workers& candidates,
+                                const placement_request& request, const std::string& required_rack,
+                                time_point now);
 
 /// Reserves a worker for a task that fits on none now: removes, among the workers whose total
 /// capacity suffices, the one with most free cores from the candidates, so that smaller tasks later
