Call the workers of a large pool through other entry hosts

What was left of an owner's load after the cheaper planning rounds grows with its workers: each start, end and hold is an HTTP call with JSON on its half core, while more than a hundred other hosts idle.

An owner of more than 100 workers now sends orders and holds as compact messages to relays: hosts in the worker's zone that own no shard, chosen by weighted rendezvous hashing, so that each gets workers in proportion to its capacity. Decisions, log, fencing token and leases stay with the owner, so all promises about starts are kept where they were. A relay that does not answer in time is avoided for 5 s: a hold is repeated directly at once, so that no worker loses its lease; an order that left the host has an unknown outcome, which stops the run before its task is started again; an order that did not leave it is sent directly.

Weighed and not chosen: several shards a service, each with its own racks. Steps that are spread over racks, data racks, gangs and machines that move between pools would each need rules across shards, and a change of their number a protocol of its own (docs/design/shards.md).

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,6 +95,7 @@
                                               false,
                                               m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
+      m_worker_client(m_client),
       m_peer_link(context, m_settings.m_peer_address,
                   [this](host_message message, bool reply_expected) {
                       return handle_peer_message(std::move(message), reply_expected);
@@ -122,6 +123,8 @@
     m_peer_table.m_seeds = m_settings.m_seeds;
     // Hosts that are behind at the same time start with different sources.
     m_config_fetch.m_next_source = stable_hash(m_self.m_peer_address);
+    m_worker_client.set_relays(m_peer_link, m_registry.members(), m_registry.owners(),
+                               m_self.m_host);
     m_store.set_relay_peers(m_peer_link,
                             [this] { return peers_with_store(m_peer_table, read_boot_clock()); });
 }
@@ -188,7 +191,8 @@
     }
     shard_owner_dependencies dependencies;
     dependencies.m_context = &m_context;
-    dependencies.m_workers = &m_client;
+    dependencies.m_http = &m_client;
+    dependencies.m_workers = &m_worker_client;
     dependencies.m_store = &m_store;
     dependencies.m_host = m_self.m_host;
     dependencies.m_advice_address = m_settings.m_advice_address;
@@ -577,6 +581,9 @@
     }
     line("guavabay_store_answers", m_store.is_available() ? 1 : 0);
     line("guavabay_connections_opened_total", static_cast<double>(m_client.opened()));
+    line("guavabay_worker_calls_relayed_total", static_cast<double>(m_worker_client.relayed()));
+    line("guavabay_worker_relay_failures_total",
+         static_cast<double>(m_worker_client.relay_failures()));
     line("guavabay_caller_connections", static_cast<double>(m_caller_server.open_connections()));
     const time_point now = read_boot_clock();
     for (const auto& [service, owner] : m_owners) {
@@ -588,6 +595,7 @@
         line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
         line("guavabay_placement_candidates_total" + labels,
              static_cast<double>(state.m_candidates));
+        line("guavabay_tasks_examined_total" + labels, static_cast<double>(state.m_tasks_examined));
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
@@ -681,6 +689,14 @@
         host_message reply = co_await relay_store_call(std::move(*call));
         co_return std::optional<host_message>(std::move(reply));
     }
+    if (auto* order = std::get_if<worker_order_request>(&message)) {
+        host_message reply = co_await m_worker_client.relay_order(std::move(*order));
+        co_return std::optional<host_message>(std::move(reply));
+    }
+    if (auto* hold = std::get_if<worker_hold_request>(&message)) {
+        host_message reply = co_await m_worker_client.relay_hold(std::move(*hold));
+        co_return std::optional<host_message>(std::move(reply));
+    }
     if (const auto* request = std::get_if<cordon_request>(&message)) {
         cordon_reply reply;
         const auto found = m_owners.find(request->m_service);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include "dispatch/peer_table.h"
 #include "dispatch/registry.h"
 #include "dispatch/shard_owner.h"
+#include "dispatch/worker_client.h"
 
 namespace guavabay {
 
@@ -85,6 +86,7 @@
     host_record m_self; ///< This host, as registered in the store.
     http_client m_client;
     store_client m_store;
+    worker_client m_worker_client;
     host_link m_peer_link;
     peer_table m_peer_table;
     config_fetch m_config_fetch;
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -7,16 +7,14 @@
 #include "log/log.h"
 #include "platform/advice_calls.h"
 #include "platform/store_calls.h"
-#include "platform/worker_calls.h"
 
 namespace guavabay {
 
 namespace {
 
-/// Time limits of a read of the log, of a write to it, and of an order to a worker.
+/// Time limits of a read of the log and of a write to it.
 constexpr milliseconds read_timeout{2500};
 constexpr milliseconds write_timeout{1500};
-constexpr milliseconds order_timeout{800};
 
 /// Time limit of a call to the advice service, which serves the calls of one host one at a time.
 constexpr milliseconds advice_timeout{3000};
@@ -36,8 +34,9 @@
 constexpr milliseconds hold_wait_idle{900};
 /// The same while a long-running task starts up, because other tasks of its step may wait for it.
 constexpr milliseconds hold_wait_starting{80};
-/// Added to that time for the time limit of the call.
-constexpr milliseconds hold_timeout_margin{600};
+
+/// An owner of more workers calls them through other hosts.
+constexpr std::size_t max_direct_workers = 100;
 
 /// Shortest pause between two holds of a worker.
 constexpr milliseconds hold_interval{8};
@@ -46,11 +45,14 @@
 /// once while it has unacknowledged ends, so that an earlier hold would return without waiting.
 constexpr milliseconds ack_hold_delay{150};
 
-/// Interval of planning rounds without events, and the shortest interval with many events: each
-/// round costs time because it looks at all open submissions.
+/// Interval of planning rounds without events, and the shortest interval with many events.
 constexpr milliseconds idle_plan_interval{50};
 constexpr milliseconds min_plan_interval{4};
 
+/// The pause after a round is at least this multiple of the time that the round took, which leaves
+/// the rest of the processor to calls.
+constexpr int plan_pause_factor = 3;
+
 /// Longest time that a call waits for its log entry to become durable.
 constexpr milliseconds caller_timeout{2600};
 
@@ -173,12 +175,14 @@
         self->m_plan_pending = false;
         self->run_plan();
     };
+    const duration interval =
+        std::max<duration>(min_plan_interval, (plan_pause_factor + 1) * m_last_plan_time);
     const duration since = read_boot_clock() - m_last_plan_at;
-    if (since >= min_plan_interval) {
+    if (since >= interval) {
         asio::post(*m_dependencies.m_context, run_pending_plan);
         return;
     }
-    m_plan_timer.expires_after(std::chrono::ceil<milliseconds>(min_plan_interval - since));
+    m_plan_timer.expires_after(std::chrono::ceil<milliseconds>(interval - since));
     m_plan_timer.async_wait(run_pending_plan);
 }
 
@@ -198,6 +202,7 @@
     update_permissions();
     m_last_plan_at = read_boot_clock();
     plan(m_shard, m_last_plan_at, read_wall_clock());
+    m_last_plan_time = read_boot_clock() - m_last_plan_at;
     std::vector<worker_order> orders;
     orders.swap(m_shard.m_orders);
     for (worker_order& order : orders) {
@@ -237,7 +242,7 @@
 
 asio::awaitable<void> shard_owner::request_advice(advice_request request)
 {
-    const http_answer answer = co_await m_dependencies.m_workers->call(
+    const http_answer answer = co_await m_dependencies.m_http->call(
         *m_dependencies.m_advice_address, platform::encode_advice_request(request), advice_timeout);
     const std::optional<advice_reply> reply = platform::decode_advice_reply(answer);
     if (!reply) {
@@ -248,10 +253,20 @@
     schedule_plan();
 }
 
+bool shard_owner::may_relay() const
+{
+    return m_shard.m_workers.size() > max_direct_workers;
+}
+
+zone_id shard_owner::zone_of(const worker_id& worker) const
+{
+    const auto found = m_shard.m_workers.find(worker);
+    return found == m_shard.m_workers.end() ? zone_id() : found->second->m_info.m_zone;
+}
+
 asio::awaitable<void> shard_owner::send_order(worker_order order)
 {
-    const std::optional<ip_address> address = parse_address(order.m_address);
-    if (!address || m_stopped) {
+    if (m_stopped) {
         co_return;
     }
     // The lease may have expired while this process was suspended. Another host may then own the
@@ -263,15 +278,14 @@
         co_return;
     }
     ++m_orders_in_flight;
-    http_call call = platform::encode_order(order, m_shard.m_token);
-    const http_answer answer =
-        co_await m_dependencies.m_workers->call(*address, std::move(call), order_timeout);
+    worker_order copy = order;
+    const order_outcome outcome = co_await m_dependencies.m_workers->send_order(
+        std::move(copy), m_shard.m_token, zone_of(order.m_worker), may_relay());
     --m_orders_in_flight;
     if (m_stopped) {
         co_return;
     }
-    apply_order_answer(m_shard, order, platform::decode_order_answer(answer), read_boot_clock(),
-                       read_wall_clock());
+    apply_order_answer(m_shard, order, outcome, read_boot_clock(), read_wall_clock());
     schedule_plan();
 }
 
@@ -503,24 +517,17 @@
         if (!request) {
             break;
         }
-        const std::optional<ip_address> address = parse_address(request->m_address);
-        if (!address) {
-            log_warning("shard: worker " + worker.str() +
-                        " has a malformed address service=" + m_shard.m_service.str());
-            break;
-        }
         const worker_record& before = *m_shard.m_workers.at(worker);
         const milliseconds wait =
             !before.m_answered || !request->m_deadline_ms ? milliseconds(0) : hold_wait(before);
         const time_point sent = read_boot_clock();
-        const http_answer answer = co_await m_dependencies.m_workers->call(
-            *address, platform::encode_hold(*request, m_shard.m_token, wait),
-            wait + hold_timeout_margin);
+        hold_request copy = *request;
+        const auto [report, outcome] = co_await m_dependencies.m_workers->hold(
+            std::move(copy), m_shard.m_token, wait, before.m_info.m_zone, may_relay());
         // Ends that are not acknowledged are reported again, to the next owner of the shard.
         if (m_stopped || m_releasing) {
             break;
         }
-        auto [report, outcome] = platform::decode_hold_answer(answer);
         const time_point now = read_boot_clock();
         if (report) {
             pause.reset();
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -9,6 +9,7 @@
 #include "dispatch/operator_config.h"
 #include "dispatch/retry_backoff.h"
 #include "dispatch/store_client.h"
+#include "dispatch/worker_client.h"
 #include "peer/host_message.h"
 #include "schedule/advice.h"
 #include "schedule/shard.h"
@@ -19,7 +20,8 @@
 /// What a shard owner uses of its host. The pointers have to outlive the owner.
 struct shard_owner_dependencies {
     asio::io_context* m_context = nullptr;
-    http_client* m_workers = nullptr;
+    http_client* m_http = nullptr; ///< For the advice service.
+    worker_client* m_workers = nullptr;
     store_client* m_store = nullptr;
     host_id m_host;
     std::optional<ip_address> m_advice_address;
@@ -121,6 +123,10 @@
     void withdraw_submissions(std::vector<log_entry>& entries);
     /// Renews the lease of a worker and takes its reports until the worker is gone.
     asio::awaitable<void> hold_worker_loop(worker_id worker);
+    /// True if calls to workers may go through other hosts, which takes load off this one.
+    [[nodiscard]] bool may_relay() const;
+    /// Zone of a worker; empty if it is unknown.
+    [[nodiscard]] zone_id zone_of(const worker_id& worker) const;
     /// Sends an order to a worker and applies its answer.
     asio::awaitable<void> send_order(worker_order order);
     /// Sends the next request to the advice service, if there is one.
@@ -138,6 +144,7 @@
     bool m_releasing = false;
     bool m_plan_pending = false; ///< A planning round is requested.
     time_point m_last_plan_at{};
+    duration m_last_plan_time{};        ///< How long the last round took.
     bool m_writing = false;             ///< A log write is under way.
     bool m_store_failing = false;       ///< New submissions are refused.
     time_point m_store_retry_at{};      ///< When a submission may probe the store.
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -1,6 +1,8 @@
 #include "peer/host_message.h"
 
+#include <algorithm>
 #include <array>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
@@ -79,23 +81,122 @@
             value.m_config, value.m_peers);
 }
 
-namespace {
+template <typename Archive>
+void serialize(Archive& archive, task_name& value)
+{
+    archive(value.m_submission, value.m_occurrence, value.m_step, value.m_index);
+}
 
-/// True when the enumerated values of a message are ones of their enumerations.
-bool is_known(const host_message& message)
+template <typename Archive>
+void serialize(Archive& archive, worker_order& value)
+{
+    archive(value.m_kind, value.m_worker, value.m_address, value.m_task, value.m_run, value.m_spec,
+            value.m_checkpoint, value.m_ticket, value.m_deadline_ms, value.m_percent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, hold_request& value)
+{
+    archive(value.m_worker, value.m_address, value.m_deadline_ms, value.m_acked_through);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, reported_run& value)
+{
+    archive(value.m_task, value.m_run, value.m_checkpoint, value.m_percent, value.m_load);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, reported_end& value)
+{
+    archive(value.m_number, value.m_task, value.m_run, value.m_outcome, value.m_checkpoint);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, worker_report& value)
+{
+    archive(value.m_clock_ms, value.m_incarnation_start_ms, value.m_running, value.m_ended);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, worker_order_request& value)
 {
-    const auto* reply = std::get_if<owner_reply>(&message);
-    return reply == nullptr || (reply->m_answer <= owner_answer::unknown &&
-                                reply->m_state <= submission_state::canceled);
+    archive(value.m_order, value.m_token);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, worker_order_reply& value)
+{
+    archive(value.m_outcome);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, worker_hold_request& value)
+{
+    archive(value.m_hold, value.m_token, value.m_wait_ms);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, worker_hold_reply& value)
+{
+    archive(value.m_outcome, value.m_report);
+}
+
+namespace {
+
+/// Checks that the enumerated values of a message are ones of their enumerations.
+struct value_check {
+    bool operator()(const owner_reply& reply) const
+    {
+        return reply.m_answer <= owner_answer::unknown &&
+               reply.m_state <= submission_state::canceled;
+    }
+
+    bool operator()(const worker_order_request& request) const
+    {
+        return request.m_order.m_kind <= worker_order::kind::pace;
+    }
+
+    bool operator()(const worker_order_reply& reply) const
+    {
+        return reply.m_outcome <= order_outcome::unknown;
+    }
+
+    bool operator()(const worker_hold_reply& reply) const
+    {
+        return reply.m_outcome <= order_outcome::unknown &&
+               std::all_of(reply.m_report.m_ended.begin(), reply.m_report.m_ended.end(),
+                           [](const reported_end& end) {
+                               return end.m_outcome <= run_end::gang_incomplete;
+                           });
+    }
+
+    template <typename Message>
+    bool operator()(const Message& /*message*/) const
+    {
+        return true;
+    }
+};
+
 } // namespace
 
 std::string_view message_name(std::size_t kind)
 {
     static constexpr std::array<std::string_view, std::variant_size_v<host_message>> names{
-        "submit_request", "cancel_request", "state_request", "count_request", "cordon_request",
-        "relay_request",  "greeting",       "owner_reply",   "cordon_reply",  "relay_reply"};
+        "submit_request",
+        "cancel_request",
+        "state_request",
+        "count_request",
+        "cordon_request",
+        "relay_request",
+        "greeting",
+        "owner_reply",
+        "cordon_reply",
+        "relay_reply",
+        "worker_order_request",
+        "worker_order_reply",
+        "worker_hold_request",
+        "worker_hold_reply"};
     return names.at(kind);
 }
 
@@ -116,7 +217,7 @@
         host_frame frame;
         archive(frame.m_number, frame.m_message);
         frame.m_bytes = bytes.size();
-        if (!is_known(frame.m_message)) {
+        if (!std::visit(value_check{}, frame.m_message)) {
             return fail("malformed frame: a word is not known");
         }
         return frame;
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "submission/submission.h"
+#include "worker/worker.h"
+#include "worker/worker_order.h"
 
 namespace guavabay {
 
@@ -105,10 +107,35 @@
     std::vector<std::string> m_peers; ///< Addresses of other hosts.
 };
 
+/// An order to a worker that the receiver passes on for the owner of the worker's shard.
+struct worker_order_request {
+    worker_order m_order;
+    fencing_token m_token; ///< Of the owner.
+};
+
+/// The worker's answer to a relayed order.
+struct worker_order_reply {
+    order_outcome m_outcome = order_outcome::unknown;
+};
+
+/// A hold of a worker that the receiver passes on for the owner of the worker's shard.
+struct worker_hold_request {
+    hold_request m_hold;
+    fencing_token m_token;       ///< Of the owner.
+    std::uint32_t m_wait_ms = 0; ///< How long the worker may delay its answer until a run ends.
+};
+
+/// The worker's answer to a relayed hold.
+struct worker_hold_reply {
+    order_outcome m_outcome = order_outcome::unknown;
+    worker_report m_report; ///< Empty unless the hold was accepted.
+};
+
 /// One message between two hosts; a reply carries the number of its request.
 using host_message =
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
-                 relay_request, greeting, owner_reply, cordon_reply, relay_reply>;
+                 relay_request, greeting, owner_reply, cordon_reply, relay_reply,
+                 worker_order_request, worker_order_reply, worker_hold_request, worker_hold_reply>;
 
 /// Name of a message's kind, given as the index of the alternative, for metrics.
 std::string_view message_name(std::size_t kind);
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -170,7 +170,8 @@
         }
         shard_owner_dependencies dependencies;
         dependencies.m_context = &m_context;
-        dependencies.m_workers = &m_http;
+        dependencies.m_http = &m_http;
+        dependencies.m_workers = &m_workers_client;
         dependencies.m_store = &m_client;
         dependencies.m_host = host_id("host-a");
         dependencies.m_lease_valid_until = [] { return read_boot_clock() + seconds(1); };
@@ -230,6 +231,7 @@
     paced_store m_store;
     std::vector<std::unique_ptr<spread_worker>> m_workers;
     http_client m_http;
+    worker_client m_workers_client{m_http};
     store_client m_client;
     std::shared_ptr<shard_owner> m_owner;
 };
