Tell refused callers to return when there is room, and serve them late rather than never

Callers that were refused in a peak were told to return when the work accepted at that moment would allow it, all at about the same time, while the peak went on; with each return less time was left until their hard deadline, and after it they were refused even by an idle pool.

The time of return now counts the accepted work and that of all callers refused before who are still to return. A submission that is late in any case is accepted while the accepted work takes less than a second: it runs on capacity that nothing else needs, behind all others. Work that is late asks for machines by the time that it has left, so that machines go to the queue whose turn begins.

The machine controller asks the owners of all pools at the same time instead of one after the other, and logs once a second what each pool has and needs.

--- a/src/dispatch/machine_controller.cpp
+++ b/src/dispatch/machine_controller.cpp
@@ -25,6 +25,9 @@
 /// Delay before an order that was refused or not answered is sent again.
 constexpr milliseconds order_retry_delay{700};
 
+/// Interval of log lines about the machines that each pool has and needs.
+constexpr milliseconds pool_log_interval{1000};
+
 /// A machine of a wave that still drains after this time is logged.
 constexpr milliseconds drain_log_delay{3500};
 
@@ -342,20 +345,75 @@
     }
     m_drained_machines.clear();
     m_loads.clear();
+    if (requests.empty()) {
+        co_return;
+    }
+    // All pools are asked at the same time: a decision needs the answers of all, and an owner that
+    // does not answer must not delay the others.
+    auto round = std::make_shared<cordon_round>(*m_dependencies.m_context, requests.size());
     for (auto& [pool, request] : requests) {
-        const std::optional<cordon_reply> reply =
-            co_await m_dependencies.m_cordon(std::move(request));
-        if (!reply || !reply->m_owner) {
-            continue;
-        }
-        for (const std::string& name : reply->m_clear) {
-            m_drained_machines.emplace(name);
-        }
-        pool_load& load = m_loads[pool];
-        load.m_needed_machines = reply->m_needed;
-        for (const machine_report& machine : reply->m_machines) {
-            load.m_machines[machine_id(machine.m_machine)] = {machine.m_runs, machine.m_lasting};
-        }
+        asio::co_spawn(
+            *m_dependencies.m_context,
+            [self = shared_from_this(), round, what = std::move(request)]() mutable {
+                return self->request_cordon(round, std::move(what));
+            },
+            asio::detached);
+    }
+    error_code ignored;
+    co_await round->m_all_answered.async_wait(to_coroutine(ignored));
+}
+
+asio::awaitable<void> machine_controller::request_cordon(std::shared_ptr<cordon_round> round,
+                                                         cordon_request request)
+{
+    const service_id pool = request.m_service;
+    const std::optional<cordon_reply> reply = co_await m_dependencies.m_cordon(std::move(request));
+    if (--round->m_open == 0) {
+        round->m_all_answered.cancel();
+    }
+    if (!reply || !reply->m_owner) {
+        co_return;
+    }
+    for (const std::string& name : reply->m_clear) {
+        m_drained_machines.emplace(name);
+    }
+    pool_load& load = m_loads[pool];
+    load.m_needed_machines = reply->m_needed;
+    for (const machine_report& machine : reply->m_machines) {
+        load.m_machines[machine_id(machine.m_machine)] = {machine.m_runs, machine.m_lasting};
+    }
+}
+
+void machine_controller::log_pools()
+{
+    const time_point now = read_boot_clock();
+    if (now < m_next_pool_log) {
+        return;
+    }
+    m_next_pool_log = now + pool_log_interval;
+    struct pool_count {
+        std::size_t m_up = 0;
+        std::size_t m_away = 0;
+        std::size_t m_leaving = 0;
+        std::size_t m_coming = 0;
+    };
+    std::map<service_id, pool_count> counts;
+    for (const machine_listing& listing : m_listings) {
+        pool_count& count = counts[listing.m_pool];
+        ++(listing.m_state == machine_state::up ? count.m_up : count.m_away);
+    }
+    for (const auto& [machine, move] : m_moves.m_moves) {
+        ++counts[move.m_to].m_coming;
+        ++counts[move.m_from].m_leaving;
+    }
+    for (const auto& [pool, count] : counts) {
+        const auto load = m_loads.find(pool);
+        log_info("machines: pool=" + pool.str() + " up=" + std::to_string(count.m_up) + " away=" +
+                 std::to_string(count.m_away) + " leaving=" + std::to_string(count.m_leaving) +
+                 " coming=" + std::to_string(count.m_coming) + " needed=" +
+                 (load == m_loads.end()
+                      ? std::string("unknown")
+                      : std::to_string(static_cast<int>(load->second.m_needed_machines))));
     }
 }
 
@@ -525,6 +583,7 @@
             }
             if (!m_stopped) {
                 advance_moves();
+                log_pools();
             }
         }
         timer.expires_after(round_interval);
--- a/src/dispatch/machine_controller.h
+++ b/src/dispatch/machine_controller.h
@@ -58,6 +58,21 @@
     asio::awaitable<bool> read_machines();
     /// Tells each pool which machines to drain and collects drained machines and loads.
     asio::awaitable<void> send_cordon_requests();
+    /// Requests to the owners of all pools that are open at the same time.
+    struct cordon_round {
+        cordon_round(asio::io_context& context, std::size_t requests)
+            : m_open(requests), m_all_answered(context, asio::steady_timer::time_point::max())
+        {
+        }
+
+        std::size_t m_open;
+        asio::steady_timer m_all_answered; ///< Cancelled when no request is open.
+    };
+    /// Sends one of these requests and records the reply.
+    asio::awaitable<void> request_cordon(std::shared_ptr<cordon_round> round,
+                                         cordon_request request);
+    /// Logs the machines that each pool has and needs, at intervals.
+    void log_pools();
     /// Stores the progress of a wave, then orders the maintenance of its drained machines.
     asio::awaitable<void> advance_wave(upkeep_progress& wave);
     /// Chooses machines to move between pools and orders the moves whose machines are drained.
@@ -89,6 +104,7 @@
     std::map<std::int64_t, std::set<machine_id>> m_recorded_intents;
     std::set<std::int64_t> m_succeeded; ///< Waves recorded as succeeded.
     std::vector<machine_listing> m_listings;
+    time_point m_next_pool_log{};
     double m_order_permits = 0; ///< Orders that may be sent now; fractions accumulate.
     time_point m_permits_refilled_at{};
     move_state m_moves;
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -9,10 +9,71 @@
 /// Hard deadline as a multiple of the time from arrival to the objective.
 constexpr int hard_deadline_factor = 3;
 
-/// Limit on the refused submissions whose first attempt is remembered. Retries of a forgotten one
-/// count as new arrivals.
+/// Limit on the refused submissions that are remembered. Retries of a forgotten one count as new
+/// arrivals.
 constexpr std::size_t max_remembered_refusals = 4096;
 
+/// A refused submission that is not handed in again this long after it was told to is forgotten.
+constexpr seconds refusal_expiry{10};
+
+/// Longest time after which a refused caller is told to return.
+constexpr seconds max_retry_after{12};
+
+/// A submission that is late in any case is accepted while the accepted work takes no longer than
+/// this: the pool has capacity to spare then.
+constexpr milliseconds max_wait_when_late{1000};
+
+/// Work that the pool has accepted, in core-milliseconds.
+struct accepted_work {
+    double m_in_time = 0; ///< Of submissions before their hard deadline.
+    double m_total = 0;
+};
+
+accepted_work measure_accepted_work(const shard& state, time_point now)
+{
+    accepted_work work;
+    for (const submission_record* open : state.m_open_submissions) {
+        work.m_in_time += now < open->m_hard_deadline ? open->m_remaining_core_ms : 0;
+        work.m_total += open->m_remaining_core_ms;
+    }
+    return work;
+}
+
+/// Work of refused callers that are still to return, in core-milliseconds.
+double returning_work(const shard& state, time_point now)
+{
+    double work = 0;
+    for (const auto& [id, refused] : state.m_refused) {
+        work += refused.m_returns_at > now ? refused.m_core_ms : 0;
+    }
+    return work;
+}
+
+/// Remembers a refusal. The caller is told to return when the accepted work and that of the callers
+/// refused before will be done, so that callers do not all return to a full pool at once.
+seconds remember_refusal(shard& state, const submission_record& record, double accepted_core_ms,
+                         time_point now)
+{
+    if (state.m_refused.size() >= max_remembered_refusals) {
+        std::erase_if(state.m_refused, [now](const auto& entry) {
+            return entry.second.m_returns_at + refusal_expiry < now;
+        });
+        if (state.m_refused.size() >= max_remembered_refusals) {
+            state.m_refused.erase(state.m_refused.begin());
+        }
+    }
+    refused_submission& refused = state.m_refused[record.m_id];
+    refused.m_first_attempt = record.m_arrived;
+    refused.m_returns_at = now;
+    refused.m_core_ms = total_core_ms(record.m_definition);
+    const duration room_in =
+        estimate_work_time(state.m_capacity, accepted_core_ms + returning_work(state, now));
+    const seconds retry_after =
+        std::clamp(std::chrono::ceil<seconds>(room_in), seconds(1), max_retry_after);
+    refused.m_returns_at = now + retry_after;
+    return retry_after;
+}
+
 bool is_long_running(const submission& what)
 {
     return std::any_of(what.m_steps.begin(), what.m_steps.end(),
@@ -63,7 +124,7 @@
     const auto refused = state.m_refused.find(id);
     const bool long_running = is_long_running(record->m_definition);
     if (refused != state.m_refused.end()) {
-        record->m_arrived = refused->second;
+        record->m_arrived = refused->second.m_first_attempt;
     }
     else if (!long_running) {
         record_arrival(state, record->m_definition, now);
@@ -73,20 +134,11 @@
     // Refuse work that the backlog would delay beyond its hard deadline.
     const pool_capacity& capacity = current_capacity(state, now);
     if (capacity.m_usable_cores > 0 && !long_running && record->m_definition.m_repeat_count == 0) {
-        double backlog = 0;
-        for (const submission_record* open : state.m_open_submissions) {
-            if (now < open->m_hard_deadline) {
-                backlog += open->m_remaining_core_ms;
-            }
-        }
-        const duration wait = estimate_work_time(capacity, backlog);
-        if (now + wait > record->m_hard_deadline) {
-            if (state.m_refused.size() >= max_remembered_refusals) {
-                state.m_refused.clear();
-            }
-            state.m_refused.try_emplace(id, now);
-            const duration over = now + wait - record->m_hard_deadline;
-            return {admission::refused, std::chrono::ceil<seconds>(over) + seconds(1),
+        const accepted_work work = measure_accepted_work(state, now);
+        const duration wait = estimate_work_time(capacity, work.m_in_time);
+        if (now + wait > record->m_hard_deadline &&
+            estimate_work_time(capacity, work.m_total) > max_wait_when_late) {
+            return {admission::refused, remember_refusal(state, *record, work.m_total, now),
                     "the work accepted before it takes too long"};
         }
     }
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -25,6 +25,9 @@
 /// time, in which a machine that is moved now joins.
 constexpr double min_backlog_time_ms = 1200;
 
+/// The same for work whose hard deadline is over.
+constexpr double hopeless_backlog_time_ms = 5000;
+
 /// Approximate time until a machine that is already being moved runs tasks.
 constexpr double join_time_ms = 1500;
 
@@ -69,6 +72,24 @@
     return sum / static_cast<double>(state.m_workers.size()) * state.m_incoming_machines;
 }
 
+/// Time in which the remaining work of a submission should be done. Work that is late in any case
+/// does not keep machines from pools whose work can still be on time.
+double time_for_backlog_ms(const submission_record& record, time_point now)
+{
+    const double shortest =
+        std::max(min_backlog_time_ms, to_milliseconds(record.m_remaining_critical_path));
+    switch (record.m_tier) {
+    case submission_tier::late:
+        return std::max(shortest, to_milliseconds(record.m_hard_deadline - now));
+    case submission_tier::hopeless:
+        return std::max(shortest, hopeless_backlog_time_ms);
+    case submission_tier::long_running:
+    case submission_tier::on_time:
+        break;
+    }
+    return shortest;
+}
+
 } // namespace
 
 const pool_capacity& current_capacity(shard& state, time_point now)
@@ -127,9 +148,7 @@
         if (!record->m_accept_stored || record->m_cancel_requested) {
             continue;
         }
-        backlog_cores +=
-            record->m_remaining_core_ms /
-            std::max(min_backlog_time_ms, to_milliseconds(record->m_remaining_critical_path));
+        backlog_cores += record->m_remaining_core_ms / time_for_backlog_ms(*record, now);
         for (const submission_step& step : record->m_definition.m_steps) {
             const auto count = static_cast<double>(step.m_task_count);
             const auto cores = static_cast<double>(step.m_demand.m_cpu_millis) / 1000.0;
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -55,18 +55,13 @@
     submission_record* m_record = nullptr;
     remaining_work m_remaining;
     time_point m_deadline{}; ///< When it has to be finished.
-    int m_tier = 0;          ///< One of the tiers below; a lower one gets capacity first.
+    submission_tier m_tier = submission_tier::on_time;
 };
 
-constexpr int tier_long_running = 0;
-constexpr int tier_on_time = 1;
-constexpr int tier_late = 2;
-constexpr int tier_hopeless = 3;
-
 /// Demotes the largest submissions of a tier until the remaining ones can all meet their deadlines
 /// with the available cores when they run in deadline order (Moore-Hodgson algorithm).
-void demote_overload(shard& state, std::vector<ranked_submission>& items, int from, int to,
-                     double cores, time_point now)
+void demote_overload(shard& state, std::vector<ranked_submission>& items, submission_tier from,
+                     submission_tier to, double cores, time_point now)
 {
     const pool_capacity& capacity = current_capacity(state, now);
     std::vector<ranked_submission*> sorted;
@@ -131,7 +126,7 @@
         if (record->m_cancel_requested || !record->m_accept_stored) {
             continue;
         }
-        ranked_submission item{record, {}, record->m_objective, tier_on_time};
+        ranked_submission item{record, {}, record->m_objective, submission_tier::on_time};
         bool any = false;
         for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
             occurrence_state& occurrence = record->m_occurrences[k];
@@ -164,25 +159,27 @@
         const time_point late_until =
             item.m_deadline + 2 * (record->m_objective - record->m_arrived);
         if (item.m_remaining.m_long_running) {
-            item.m_tier = tier_long_running;
+            item.m_tier = submission_tier::long_running;
         }
         else if (now + item.m_remaining.m_critical_path > item.m_deadline) {
-            item.m_tier =
-                now + item.m_remaining.m_critical_path > late_until ? tier_hopeless : tier_late;
+            item.m_tier = now + item.m_remaining.m_critical_path > late_until
+                              ? submission_tier::hopeless
+                              : submission_tier::late;
             item.m_deadline = late_until;
         }
         items.push_back(item);
     }
-    demote_overload(state, items, tier_on_time, tier_late, cores, now);
+    demote_overload(state, items, submission_tier::on_time, submission_tier::late, cores, now);
     std::sort(items.begin(), items.end(),
               [&](const ranked_submission& left, const ranked_submission& right) {
                   if (left.m_tier != right.m_tier) {
                       return left.m_tier < right.m_tier;
                   }
-                  if (left.m_tier == tier_on_time && left.m_deadline != right.m_deadline) {
+                  if (left.m_tier == submission_tier::on_time &&
+                      left.m_deadline != right.m_deadline) {
                       return left.m_deadline < right.m_deadline;
                   }
-                  if (left.m_tier == tier_late &&
+                  if (left.m_tier == submission_tier::late &&
                       left.m_remaining.m_core_ms != right.m_remaining.m_core_ms) {
                       return left.m_remaining.m_core_ms < right.m_remaining.m_core_ms;
                   }
@@ -193,6 +190,7 @@
               });
     state.m_ranked.clear();
     for (const ranked_submission& item : items) {
+        item.m_record->m_tier = item.m_tier;
         state.m_ranked.push_back(item.m_record);
     }
 }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -79,6 +79,14 @@
     std::vector<std::uint32_t> m_ready_tasks;      ///< Per step: tasks in the phase ready.
 };
 
+/// Urgency of a submission; a lower tier gets capacity first.
+enum class submission_tier : std::uint8_t {
+    long_running,
+    on_time,  ///< It can meet its objective.
+    late,     ///< It can meet its hard deadline.
+    hopeless, ///< It earns nothing any more.
+};
+
 /// An accepted submission. After its final state is decided it is kept for status queries.
 struct submission_record {
     submission_id m_id;
@@ -94,7 +102,8 @@
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
     submission_state m_final = submission_state::succeeded;
-    std::int64_t m_closed_ms = 0;              ///< Unix time.
+    std::int64_t m_closed_ms = 0;                      ///< Unix time.
+    submission_tier m_tier = submission_tier::on_time; ///< At the last ranking.
     double m_remaining_core_ms = 0;            ///< Core-milliseconds, by corrected estimates.
     milliseconds m_remaining_critical_path{0}; ///< By corrected estimates.
     std::vector<occurrence_state> m_occurrences;
@@ -215,6 +224,13 @@
     std::string_view m_reason; ///< For a refusal: text for the caller.
 };
 
+/// A submission that was refused and may be handed in again.
+struct refused_submission {
+    time_point m_first_attempt{}; ///< A retry keeps it as its time of arrival.
+    time_point m_returns_at{};    ///< When the caller was told to try again.
+    double m_core_ms = 0;         ///< Its work, in core-milliseconds.
+};
+
 /// Scheduling state of one shard: the submissions of one service's queues and the workers of that
 /// service. The functions below operate on it; they read no clock and do no I/O. Callers pass the
 /// time, perform the writes and orders that the functions queue, and report the results.
@@ -226,8 +242,7 @@
 
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
-    std::unordered_map<submission_id, time_point>
-        m_refused; ///< First refusal of each submission, so that a retry keeps its arrival time.
+    std::unordered_map<submission_id, refused_submission> m_refused;
     std::map<worker_id, std::unique_ptr<worker_record>> m_workers;
 
     log_batch m_pending; ///< Entries that have not been handed out for writing.
