Survive unexpected errors, and give up shards that cannot be served

Three faults of the same kind, found by reading: a host that goes on in part only.

An exception that left a coroutine was lost without a line, because detached coroutines drop it: the loop that renews a lease, holds a worker, plans or writes a log ended for good while the process and its lease lived on. One that left a plain handler ended the process. Coroutines are now started with spawn(), which logs the error; loops with spawn_loop(), which also runs them again; a planning round logs its error and the next round follows.

An owner that stopped by itself, after a conflict in its log or a refused token, kept its owner record, so that nobody served the shard as long as the host lived. It now removes the record, guarded by its token. A malformed key in a log threw while the log was loaded, and a record that could not be decoded left its number to the next write, which conflicted.

A log write whose answer was lost and that the store client repeated through a peer conflicted with itself and was taken for another owner's: the owner gave up, and callers were not told that their submission was stored. A record equal to the one being written now counts as written at any attempt.

The machine controller waits for its open orders before it gives its duty up, so that two controllers do not order at the same time, and reads all pages of the progress of waves.

Tests: owner_faults_test; three of its cases fail without the corresponding lines.

--- a/src/app/dispatch_command.cpp
+++ b/src/app/dispatch_command.cpp
@@ -9,6 +9,7 @@
 #include "core/result.h"
 #include "dispatch/dispatcher.h"
 #include "log/log.h"
+#include "net/spawn.h"
 
 namespace guavabay {
 
@@ -54,6 +55,20 @@
     }
 }
 
+/// Runs a context until it is stopped. An exception that leaves a handler ends only that handler.
+void run_context(asio::io_context& context)
+{
+    while (true) {
+        try {
+            context.run();
+            return;
+        }
+        catch (const std::exception& error) {
+            log_error("dispatch: unexpected error, going on: " + std::string(error.what()));
+        }
+    }
+}
+
 } // namespace
 
 int run_dispatch(const std::vector<std::string>& arguments)
@@ -69,8 +84,8 @@
         asio::io_context context(1);
         dispatcher host(context, *settings);
         host.start();
-        asio::co_spawn(context, follow_signals(context, host, arguments), asio::detached);
-        context.run();
+        spawn(context, "the handling of signals", follow_signals(context, host, arguments));
+        run_context(context);
     }
     catch (const std::exception& error) {
         std::cerr << "guavabay: " << error.what() << "\n";
--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -4,6 +4,7 @@
 
 #include "log/log.h"
 #include "net/http_status.h"
+#include "net/spawn.h"
 #include "platform/header_names.h"
 
 namespace guavabay {
@@ -13,6 +14,9 @@
 /// Time limit for sending a response.
 constexpr milliseconds write_timeout{5000};
 
+/// Pause after a connection could not be accepted.
+constexpr milliseconds accept_retry_pause{20};
+
 /// Reads how long the caller waits; zero if the header is missing or malformed.
 milliseconds parse_timeout(const http::request<http::string_body>& request)
 {
@@ -72,7 +76,7 @@
     : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler))
 {
     m_acceptor.listen(asio::socket_base::max_listen_connections);
-    asio::co_spawn(m_context, accept(), asio::detached);
+    spawn_loop(m_context, "the listener for callers", [this] { return accept(); });
 }
 
 void caller_server::drain()
@@ -89,10 +93,13 @@
             co_return;
         }
         if (error) {
+            // Without a pause a lack of descriptors would keep the processor busy.
             log_warning("callers: accept failed: " + error.message());
+            asio::steady_timer timer(m_context, accept_retry_pause);
+            co_await timer.async_wait(to_coroutine(error));
             continue;
         }
-        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        spawn(m_context, "a caller's connection", serve(std::move(socket)));
     }
 }
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "core/result.h"
 #include "log/log.h"
 #include "net/http_status.h"
+#include "net/spawn.h"
 #include "platform/caller_calls.h"
 #include "platform/operator_records.h"
 #include "platform/store_calls.h"
@@ -138,9 +139,9 @@
     }
     m_operator_records.start();
     m_registry.start();
-    asio::co_spawn(m_context, poll_worker_list(), asio::detached);
-    asio::co_spawn(m_context, send_greetings(), asio::detached);
-    asio::co_spawn(m_context, rebalance_shards(), asio::detached);
+    spawn_loop(m_context, "the reading of the worker list", [this] { return poll_worker_list(); });
+    spawn_loop(m_context, "the greeting of peers", [this] { return send_greetings(); });
+    spawn_loop(m_context, "the balance of shards", [this] { return rebalance_shards(); });
 }
 
 void dispatcher::reload(const host_settings& settings)
@@ -311,7 +312,7 @@
         select_config_source(m_config_fetch, m_peer_table, config_revision(),
                              m_operator_records.last_received_at(), read_boot_clock());
     if (source) {
-        asio::co_spawn(m_context, fetch_config(*source), asio::detached);
+        spawn(m_context, "a fetch of the configuration", fetch_config(*source));
     }
 }
 
@@ -546,7 +547,15 @@
     const queue_route* route =
         m_config ? find_route(*m_config, request.m_host, request.m_path) : nullptr;
     const queue_id queue = route != nullptr ? route->m_contract.m_queue : queue_id("none");
-    caller_answer answer = co_await route_caller_request(std::move(request));
+    caller_answer answer;
+    try {
+        answer = co_await route_caller_request(std::move(request));
+    }
+    catch (const std::exception& error) {
+        log_error("dispatch: unexpected error in a request, its outcome is unknown queue=" +
+                  queue.str() + ": " + error.what());
+        answer = make_answer(http_status::gateway_timeout);
+    }
     m_metrics.record(queue, method, answer.m_status, read_boot_clock() - started_at);
     co_return answer;
 }
@@ -752,7 +761,7 @@
         return;
     }
     m_stopping = true;
-    asio::co_spawn(m_context, shut_down(), asio::detached);
+    spawn(m_context, "the shutdown", shut_down());
 }
 
 asio::awaitable<void> dispatcher::shut_down()
--- a/src/dispatch/machine_controller.cpp
+++ b/src/dispatch/machine_controller.cpp
@@ -6,6 +6,7 @@
 #include "core/result.h"
 #include "dispatch/ownership.h"
 #include "log/log.h"
+#include "net/spawn.h"
 #include "peer/bounded_archive.h"
 #include "platform/machine_calls.h"
 #include "platform/operator_records.h"
@@ -108,9 +109,8 @@
 
 void machine_controller::start()
 {
-    asio::co_spawn(
-        *m_dependencies.m_context, [self = shared_from_this()]() { return self->run(); },
-        asio::detached);
+    spawn_loop(*m_dependencies.m_context, "the machine controller",
+               [self = shared_from_this()]() { return self->run(); });
 }
 
 bool machine_controller::is_lease_valid() const
@@ -122,13 +122,20 @@
 {
     for (const std::string& prefix :
          {std::string(progress_prefix), platform::wave_status_prefix()}) {
-        const http_answer answer = co_await m_dependencies.m_store->call(
-            platform::encode_range(prefix, "", false), call_timeout);
-        const range_result page = platform::decode_range(answer);
-        if (!page.m_ok) {
-            co_return false;
+        std::vector<store_item> items;
+        bool more = true;
+        while (more) {
+            const http_answer answer = co_await m_dependencies.m_store->call(
+                platform::encode_range(prefix, items.empty() ? "" : items.back().m_key, false),
+                call_timeout);
+            range_result page = platform::decode_range(answer);
+            if (!page.m_ok) {
+                co_return false;
+            }
+            more = page.m_more && !page.m_items.empty();
+            std::move(page.m_items.begin(), page.m_items.end(), std::back_inserter(items));
         }
-        for (const store_item& item : page.m_items) {
+        for (const store_item& item : items) {
             const std::int64_t number = std::atoll(item.m_key.substr(prefix.size()).c_str());
             if (prefix == progress_prefix) {
                 if (const auto written = decode_progress(item.m_value)) {
@@ -223,10 +230,12 @@
 
 asio::awaitable<void> machine_controller::send_upkeep_order(std::int64_t wave, machine_id machine)
 {
+    ++m_orders_in_flight;
     const http_answer answer = co_await m_dependencies.m_client->call(
         *m_dependencies.m_settings->m_machines_address,
         platform::encode_upkeep(machine, wave, m_dependencies.m_settings->m_host, m_token),
         order_timeout);
+    --m_orders_in_flight;
     const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
     log_info("machines: maintenance ordered machine=" + machine.str() + " wave=" +
              std::to_string(wave) + " outcome=" + std::to_string(static_cast<int>(outcome)));
@@ -271,11 +280,13 @@
         co_return;
     }
     const service_id target_pool = found->second.m_to;
+    ++m_orders_in_flight;
     const http_answer answer = co_await m_dependencies.m_client->call(
         *m_dependencies.m_settings->m_machines_address,
         platform::encode_pool_move(machine, target_pool, m_dependencies.m_settings->m_host,
                                    m_token),
         order_timeout);
+    --m_orders_in_flight;
     const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
     log_info("machines: moved machine=" + machine.str() + " to=" + target_pool.str() +
              " outcome=" + std::to_string(static_cast<int>(outcome)));
@@ -352,12 +363,10 @@
     // does not answer must not delay the others.
     auto round = std::make_shared<cordon_round>(*m_dependencies.m_context, requests.size());
     for (auto& [pool, request] : requests) {
-        asio::co_spawn(
-            *m_dependencies.m_context,
-            [self = shared_from_this(), round, what = std::move(request)]() mutable {
-                return self->request_cordon(round, std::move(what));
-            },
-            asio::detached);
+        spawn(*m_dependencies.m_context, "a request to the owner of a pool",
+              [self = shared_from_this(), round, what = std::move(request)]() mutable {
+                  return self->request_cordon(round, std::move(what));
+              });
     }
     error_code ignored;
     co_await round->m_all_answered.async_wait(to_coroutine(ignored));
@@ -494,12 +503,10 @@
         if (m_stopped || !is_lease_valid()) {
             co_return;
         }
-        asio::co_spawn(
-            *m_dependencies.m_context,
-            [self = shared_from_this(), number, machine]() {
-                return self->send_upkeep_order(number, machine);
-            },
-            asio::detached);
+        spawn(*m_dependencies.m_context, "an order of maintenance",
+              [self = shared_from_this(), number, machine]() {
+                  return self->send_upkeep_order(number, machine);
+              });
     }
 }
 
@@ -539,10 +546,8 @@
         pending_move& pending = m_moves.m_moves[machine];
         pending.m_phase = move_phase::ordered;
         pending.m_next_order_at = now + order_timeout + order_retry_delay;
-        asio::co_spawn(
-            *m_dependencies.m_context,
-            [self = shared_from_this(), machine]() { return self->send_move_order(machine); },
-            asio::detached);
+        spawn(*m_dependencies.m_context, "an order of a move",
+              [self = shared_from_this(), machine]() { return self->send_move_order(machine); });
     }
 }
 
@@ -595,6 +600,15 @@
 asio::awaitable<void> machine_controller::release()
 {
     m_stopped = true;
+    // An order that is still open would reach the platform beside those of the next controller.
+    asio::steady_timer timer(*m_dependencies.m_context);
+    const time_point end = read_boot_clock() + order_timeout;
+    while (m_orders_in_flight > 0 && read_boot_clock() < end) {
+        constexpr milliseconds poll{5};
+        timer.expires_after(poll);
+        error_code ignored;
+        co_await timer.async_wait(to_coroutine(ignored));
+    }
     store_commit commit;
     const std::string key = owner_key(machine_control_shard());
     commit.m_guards.emplace_back(key, revision(m_token.get()));
--- a/src/dispatch/machine_controller.h
+++ b/src/dispatch/machine_controller.h
@@ -105,6 +105,7 @@
     std::set<std::int64_t> m_succeeded; ///< Waves recorded as succeeded.
     std::vector<machine_listing> m_listings;
     time_point m_next_pool_log{};
+    std::size_t m_orders_in_flight = 0;
     double m_order_permits = 0; ///< Orders that may be sent now; fractions accumulate.
     time_point m_permits_refilled_at{};
     move_state m_moves;
--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -5,6 +5,7 @@
 #include "core/result.h"
 #include "dispatch/retry_backoff.h"
 #include "log/log.h"
+#include "net/spawn.h"
 #include "platform/store_calls.h"
 
 namespace guavabay {
@@ -34,7 +35,7 @@
 
 void prefix_watch::start()
 {
-    asio::co_spawn(m_context, run(), asio::detached);
+    spawn_loop(m_context, "a watch of the store", [this] { return run(); });
 }
 
 void prefix_watch::refresh()
--- a/src/dispatch/registry.cpp
+++ b/src/dispatch/registry.cpp
@@ -3,6 +3,7 @@
 #include "core/result.h"
 #include "dispatch/retry_backoff.h"
 #include "log/log.h"
+#include "net/spawn.h"
 #include "platform/store_calls.h"
 
 namespace guavabay {
@@ -46,8 +47,8 @@
 {
     m_started_at = read_boot_clock();
     m_watch.start();
-    asio::co_spawn(m_context, renew_lease_loop(), asio::detached);
-    asio::co_spawn(m_context, claim_shards_loop(), asio::detached);
+    spawn_loop(m_context, "the renewal of the lease", [this] { return renew_lease_loop(); });
+    spawn_loop(m_context, "the claims of shards", [this] { return claim_shards_loop(); });
 }
 
 void registry::set_shards(std::set<service_id> shards)
@@ -226,7 +227,7 @@
                 (rank && now - since >= static_cast<int>(*rank) * takeover_rank_delay);
             if (may_claim && !m_claims_in_flight.contains(shard)) {
                 m_claims_in_flight.insert(shard);
-                asio::co_spawn(m_context, claim_shard(shard), asio::detached);
+                spawn(m_context, "a claim of a shard", claim_shard(shard));
             }
         }
     }
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -1,10 +1,12 @@
 #include "dispatch/shard_owner.h"
 
+#include <charconv>
 #include <cstdio>
 
 #include "core/result.h"
 #include "dispatch/ownership.h"
 #include "log/log.h"
+#include "net/spawn.h"
 #include "platform/advice_calls.h"
 #include "platform/store_calls.h"
 
@@ -65,6 +67,37 @@
 /// Percent reported by a long-running task that has started up.
 constexpr std::int32_t full_percent = 100;
 
+/// Number of a log record, given its key without the prefix; empty if it is malformed.
+std::optional<std::uint64_t> parse_log_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// Makes the timer of a hold loop known for as long as the loop runs.
+class hold_timer_registration {
+public:
+    hold_timer_registration(std::map<worker_id, asio::steady_timer*>& timers, worker_id worker,
+                            asio::steady_timer& timer)
+        : m_timers(timers), m_worker(std::move(worker))
+    {
+        m_timers[m_worker] = &timer;
+    }
+
+    ~hold_timer_registration() { m_timers.erase(m_worker); }
+
+    hold_timer_registration(const hold_timer_registration&) = delete;
+    hold_timer_registration& operator=(const hold_timer_registration&) = delete;
+
+private:
+    std::map<worker_id, asio::steady_timer*>& m_timers;
+    worker_id m_worker;
+};
+
 /// Returns how long a worker may delay its answer to a hold until a run ends.
 milliseconds hold_wait(const worker_record& worker)
 {
@@ -98,9 +131,8 @@
 void shard_owner::start(const std::vector<queue_contract>& queues)
 {
     guavabay::set_queues(m_shard, queues);
-    asio::co_spawn(
-        *m_dependencies.m_context, [self = shared_from_this()]() { return self->run(); },
-        asio::detached);
+    spawn(*m_dependencies.m_context, "the owner of a shard",
+          [self = shared_from_this()]() { return self->run(); });
 }
 
 void shard_owner::stop()
@@ -155,12 +187,10 @@
 {
     for (const auto& [id, worker] : m_shard.m_workers) {
         if (m_held_workers.insert(id).second) {
-            asio::co_spawn(
-                *m_dependencies.m_context,
-                [self = shared_from_this(), worker_name = id]() {
-                    return self->hold_worker_loop(worker_name);
-                },
-                asio::detached);
+            spawn_loop(*m_dependencies.m_context, "the hold of a worker",
+                       [self = shared_from_this(), worker_name = id]() {
+                           return self->hold_worker_loop(worker_name);
+                       });
         }
     }
 }
@@ -201,17 +231,22 @@
     }
     update_permissions();
     m_last_plan_at = read_boot_clock();
-    plan(m_shard, m_last_plan_at, read_wall_clock());
+    try {
+        plan(m_shard, m_last_plan_at, read_wall_clock());
+    }
+    catch (const std::exception& error) {
+        // The next round may succeed; leases of workers are renewed meanwhile.
+        log_error("shard: unexpected error in a planning round service=" + m_shard.m_service.str() +
+                  ": " + error.what());
+    }
     m_last_plan_time = read_boot_clock() - m_last_plan_at;
     std::vector<worker_order> orders;
     orders.swap(m_shard.m_orders);
     for (worker_order& order : orders) {
-        asio::co_spawn(
-            *m_dependencies.m_context,
-            [self = shared_from_this(), what = std::move(order)]() mutable {
-                return self->send_order(std::move(what));
-            },
-            asio::detached);
+        spawn(*m_dependencies.m_context, "an order to a worker",
+              [self = shared_from_this(), what = std::move(order)]() mutable {
+                  return self->send_order(std::move(what));
+              });
     }
     request_advice();
     flush_log_lines();
@@ -219,8 +254,7 @@
         m_log_timer.cancel();
     }
     if (m_shard.m_lost) {
-        log_warning("shard: another owner was seen; stopping service=" + m_shard.m_service.str());
-        stop();
+        abandon("another owner was seen");
     }
 }
 
@@ -231,12 +265,10 @@
     }
     std::optional<advice_request> request = next_advice_request(m_shard, read_boot_clock());
     if (request) {
-        asio::co_spawn(
-            *m_dependencies.m_context,
-            [self = shared_from_this(), what = std::move(*request)]() mutable {
-                return self->request_advice(std::move(what));
-            },
-            asio::detached);
+        spawn(*m_dependencies.m_context, "a request for advice",
+              [self = shared_from_this(), what = std::move(*request)]() mutable {
+                  return self->request_advice(std::move(what));
+              });
     }
 }
 
@@ -310,6 +342,14 @@
     const time_point now = read_boot_clock();
     const wall_time wall = read_wall_clock();
     for (const store_item& item : items) {
+        const std::optional<std::uint64_t> number =
+            parse_log_number(item.m_key.substr(m_log_prefix.size()));
+        if (!number) {
+            log_error("shard: " + item.m_key + " is not a record of the log");
+            continue;
+        }
+        // Also a record that cannot be decoded occupies its number.
+        m_next_log_number = std::max(m_next_log_number, *number + 1);
         const std::optional<std::vector<log_entry>> entries = decode_log(item.m_value);
         if (!entries) {
             log_error("shard: " + item.m_key + " cannot be decoded: " + last_reason());
@@ -318,7 +358,6 @@
         for (const log_entry& entry : *entries) {
             replay_entry(m_shard, entry, now, wall);
         }
-        m_next_log_number = std::stoull(item.m_key.substr(m_log_prefix.size())) + 1;
     }
     finish_replay(m_shard, now);
     log_info("shard: loaded service=" + m_shard.m_service.str() +
@@ -343,12 +382,42 @@
         co_return;
     }
     start_worker_loops();
-    asio::co_spawn(
-        *m_dependencies.m_context, [self = shared_from_this()]() { return self->write_log_loop(); },
-        asio::detached);
+    spawn(*m_dependencies.m_context, "the writer of a shard's log",
+          [self = shared_from_this()]() { return self->write_log(); });
     co_await run_plan_loop();
 }
 
+asio::awaitable<void> shard_owner::write_log()
+{
+    std::string error;
+    try {
+        co_await write_log_loop();
+    }
+    catch (const std::exception& thrown) {
+        error = thrown.what();
+    }
+    if (!error.empty()) {
+        // Entries that were taken for writing are lost. The next owner reads what is durable.
+        m_writing = false;
+        abandon("unexpected error in the writer of the log: " + error);
+    }
+}
+
+void shard_owner::abandon(const std::string& reason)
+{
+    if (m_stopped) {
+        return;
+    }
+    log_error("shard: given up service=" + m_shard.m_service.str() +
+              " token=" + std::to_string(m_shard.m_token.get()) + " reason=" + reason);
+    stop();
+    // Without an owner record another host takes over; the guard keeps the record of a newer owner.
+    spawn(*m_dependencies.m_context, "the removal of an owner record",
+          [self = shared_from_this()]() -> asio::awaitable<void> {
+              co_await self->remove_owner_record(false);
+          });
+}
+
 asio::awaitable<void> shard_owner::run_plan_loop()
 {
     while (!m_stopped) {
@@ -374,7 +443,7 @@
         const bool stored = batch->m_entries.empty() || co_await write_batch(*batch);
         m_writing = false;
         if (!stored) {
-            stop();
+            abandon("the log cannot be written");
             co_return;
         }
         mark_batch_stored(m_shard, *batch, read_wall_clock());
@@ -448,7 +517,6 @@
     const time_point started_at = read_boot_clock();
     retry_backoff pause;
     asio::steady_timer timer(*m_dependencies.m_context);
-    bool is_retry = false;
     while (!m_stopped) {
         const http_answer answer =
             co_await m_dependencies.m_store->call(platform::encode_commit(commit), write_timeout);
@@ -459,10 +527,10 @@
             co_return true;
         }
         if (result.m_outcome == commit_outcome::conflict) {
-            // An earlier attempt whose answer was lost may have written this very batch.
+            // An earlier attempt whose answer was lost may have written this very batch, also one
+            // that the store client repeated through a peer.
             for (const store_item& item : result.m_items) {
-                if (is_retry && item.m_key == key &&
-                    item.m_value == commit.m_puts.front().m_value) {
+                if (item.m_key == key && item.m_value == commit.m_puts.front().m_value) {
                     m_store_failing = false;
                     ++m_next_log_number;
                     co_return true;
@@ -476,7 +544,6 @@
             log_error("shard: log write rejected as malformed key=" + key + ": " + last_reason());
             co_return false;
         }
-        is_retry = true;
         known_unwritten = known_unwritten && result.m_outcome == commit_outcome::refused;
         if (read_boot_clock() - started_at > store_write_grace) {
             if (!m_store_failing) {
@@ -507,7 +574,7 @@
 asio::awaitable<void> shard_owner::hold_worker_loop(worker_id worker)
 {
     asio::steady_timer timer(*m_dependencies.m_context);
-    m_hold_timers[worker] = &timer;
+    const hold_timer_registration registration(m_hold_timers, worker, timer);
     retry_backoff pause(milliseconds(60), milliseconds(300));
     error_code ignored;
     while (!m_stopped && !m_releasing) {
@@ -545,7 +612,6 @@
         }
         co_await timer.async_wait(to_coroutine(ignored));
     }
-    m_hold_timers.erase(worker);
     m_held_workers.erase(worker);
 }
 
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -110,8 +110,12 @@
     asio::awaitable<void> run();
     /// Runs a planning round at least once per interval.
     asio::awaitable<void> run_plan_loop();
+    /// Writes the log until stopped; gives the shard up after an unexpected error.
+    asio::awaitable<void> write_log();
     /// Writes pending log entries in batches.
     asio::awaitable<void> write_log_loop();
+    /// Stops, and removes the owner record unless another host owns the shard.
+    void abandon(const std::string& reason);
     /// Store key of the next log record.
     [[nodiscard]] std::string next_log_key() const;
     /// Removes the owner record, so that another host can take the shard over; with a closing log
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -4,6 +4,7 @@
 
 #include "core/result.h"
 #include "log/log.h"
+#include "net/spawn.h"
 
 namespace guavabay {
 
@@ -108,7 +109,7 @@
 host_link::host_link(asio::io_context& context, const ip_address& address, request_handler handler)
     : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler))
 {
-    asio::co_spawn(m_context, accept(), asio::detached);
+    spawn_loop(m_context, "the listener for peers", [this] { return accept(); });
 }
 
 std::string host_link::encode_counted(std::uint64_t number, const host_message& message)
@@ -140,7 +141,7 @@
     auto channel = std::make_shared<outgoing>(m_context);
     channel->m_address = address;
     m_channels[address] = channel;
-    asio::co_spawn(m_context, run_outgoing(channel, *target), asio::detached);
+    spawn(m_context, "a connection to a peer", run_outgoing(channel, *target));
     return channel;
 }
 
@@ -166,7 +167,7 @@
     if (!error) {
         channel->m_connected = true;
         channel->m_socket.set_option(asio::ip::tcp::no_delay(true), error);
-        asio::co_spawn(m_context, read_replies(channel), asio::detached);
+        spawn(m_context, "replies of a peer", read_replies(channel));
         while (!channel->m_over) {
             if (channel->m_queue.empty()) {
                 channel->m_wake.expires_at(asio::steady_timer::time_point::max());
@@ -299,7 +300,7 @@
             co_return;
         }
         if (!error) {
-            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+            spawn(m_context, "a peer's connection", serve(std::move(socket)));
         }
     }
 }
@@ -325,7 +326,7 @@
             co_return;
         }
         count_received(*frame);
-        asio::co_spawn(m_context, answer(shared, std::move(*frame)), asio::detached);
+        spawn(m_context, "an answer to a peer", answer(shared, std::move(*frame)));
     }
 }
 
--- /dev/null
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -0,0 +1,180 @@
+#include <catch2/catch.hpp>
+#include <memory>
+#include <stdexcept>
+
+#include "dispatch/ownership.h"
+#include "dispatch/shard_owner.h"
+#include "net/spawn.h"
+#include "support/loopback.h"
+#include "support/paced_store.h"
+
+using namespace guavabay;
+using guavabay::test::paced_store;
+using guavabay::test::run_until;
+
+namespace {
+
+const service_id service("service-a");
+const queue_id queue("queue-a");
+
+/// The owner of a shard without workers, its store, and a peer that can relay calls to the store.
+struct faulty_store_owner {
+    faulty_store_owner()
+    {
+        m_client.set_relay_peers(m_link, [this] { return m_peers; });
+        m_token = m_store.put(owner_key(service), "host-a");
+    }
+
+    void start()
+    {
+        shard_owner_dependencies dependencies;
+        dependencies.m_context = &m_context;
+        dependencies.m_http = &m_http;
+        dependencies.m_workers = &m_workers;
+        dependencies.m_store = &m_client;
+        dependencies.m_host = host_id("host-a");
+        dependencies.m_lease_valid_until = [] { return read_boot_clock() + seconds(1); };
+        dependencies.m_store_unreachable_for_all = [] { return false; };
+        m_owner = std::make_shared<shard_owner>(std::move(dependencies), service, m_token);
+        queue_contract contract;
+        contract.m_queue = queue;
+        contract.m_service = service;
+        m_owner->start({contract});
+        REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
+    }
+
+    /// Submits and returns the owner's answer.
+    owner_answer submit(const std::string& id)
+    {
+        std::optional<owner_answer> answer;
+        asio::co_spawn(
+            m_context,
+            [this, id, &answer]() -> asio::awaitable<void> {
+                submission work;
+                work.m_steps.emplace_back();
+                answer = (co_await m_owner->submit(queue, submission_id(id), work)).m_answer;
+            },
+            asio::detached);
+        REQUIRE(run_until(m_context, [&] { return answer.has_value(); }));
+        return *answer;
+    }
+
+    static ip_address free_address(asio::io_context& context)
+    {
+        asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
+        return *parse_address("127.0.0.1:" + std::to_string(probe.local_endpoint().port()));
+    }
+
+    /// Makes a relayed call to the store, as a peer that the store serves does.
+    asio::awaitable<std::optional<host_message>> relay(host_message message)
+    {
+        relay_request request = std::get<relay_request>(std::move(message));
+        http_call call{request.m_method, request.m_target, {}, request.m_body};
+        const http_answer answer =
+            co_await m_peer_http.call(m_store.address(), std::move(call), seconds(1));
+        relay_reply reply;
+        reply.m_progress = static_cast<std::uint8_t>(answer.m_progress);
+        reply.m_status = answer.m_status;
+        reply.m_body = answer.m_body;
+        co_return host_message(reply);
+    }
+
+    asio::io_context m_context;
+    paced_store m_store{m_context};
+    http_client m_http{m_context, 4};
+    http_client m_peer_http{m_context, 4};
+    worker_client m_workers{m_http};
+    store_client m_client{m_http, m_store.address()};
+    ip_address m_peer_address = free_address(m_context);
+    host_link m_link{m_context, free_address(m_context),
+                     [](host_message /*message*/,
+                        bool /*reply_expected*/) -> asio::awaitable<std::optional<host_message>> {
+                         co_return std::nullopt;
+                     }};
+    host_link m_peer{m_context, m_peer_address,
+                     [this](host_message message, bool /*reply_expected*/) {
+                         return relay(std::move(message));
+                     }};
+    std::vector<std::string> m_peers;
+    revision m_token;
+    std::shared_ptr<shard_owner> m_owner;
+};
+
+} // namespace
+
+// Guards against a shard that nobody serves: a malformed key ended the loading with an exception
+// that nothing reported, and the owner's next write conflicted with a record it could not decode.
+TEST_CASE("an owner serves a shard whose log has malformed records", "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.m_store.put("l/service-a/000000000001", "not a log record");
+    owned.m_store.put("l/service-a/not-a-number", "x");
+    owned.start();
+    CHECK(owned.submit("0000000000000001") == owner_answer::done);
+}
+
+// Guards against a shard without a serving owner: an owner that stopped after a conflict kept the
+// owner record, which its host's lease kept alive.
+TEST_CASE("an owner that cannot write its log gives the shard up", "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    owned.m_store.put("l/service-a/000000000002", "written by another");
+    owned.m_store.put("l/service-a/000000000003", "written by another");
+    owned.submit("0000000000000002");
+    CHECK_FALSE(owned.m_owner->is_alive());
+    CHECK(run_until(owned.m_context, [&] { return !owned.m_store.contains(owner_key(service)); }));
+}
+
+// Guards against an owner that gives its shard up, and callers that are not told that their
+// submission was accepted, after the answer to a write was lost: the store client repeats such a
+// write through a peer, where it conflicts with itself.
+TEST_CASE("a write that is repeated through a peer after its answer was lost counts as done",
+          "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    // Two refusals make the client look for a peer; it tries the store itself again after a while.
+    owned.m_store.m_refuse_status = 503;
+    owned.submit("0000000000000002");
+    owned.m_peers = {"127.0.0.1:" + std::to_string(owned.m_peer_address.m_port)};
+    owned.m_store.m_refuse_status = 0;
+    owned.m_context.run_for(milliseconds(700));
+    owned.m_store.m_lose_answers = 1;
+    CHECK(owned.submit("0000000000000003") == owner_answer::done);
+    CHECK(owned.m_store.m_lose_answers == 0);
+    CHECK(owned.m_owner->is_alive());
+}
+
+TEST_CASE("an exception in a spawned coroutine ends neither the context nor other coroutines",
+          "[owner_faults]")
+{
+    asio::io_context context;
+    int finished = 0;
+    spawn(context, "a test", []() -> asio::awaitable<void> {
+        throw std::runtime_error("unexpected");
+        co_return;
+    });
+    spawn(context, "a test", [&finished]() -> asio::awaitable<void> {
+        ++finished;
+        co_return;
+    });
+    CHECK_NOTHROW(context.run());
+    CHECK(finished == 1);
+}
+
+TEST_CASE("a loop that ends with an exception runs again", "[owner_faults]")
+{
+    asio::io_context context;
+    int runs = 0;
+    spawn_loop(context, "a test", [&runs]() -> asio::awaitable<void> {
+        if (++runs < 3) {
+            throw std::runtime_error("unexpected");
+        }
+        co_return;
+    });
+    CHECK_NOTHROW(context.run());
+    CHECK(runs == 3);
+}
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -246,7 +246,12 @@
         if (error) {
             co_return;
         }
+        const bool is_commit = request.target().starts_with("/v1/kv-txn");
         const http::response<http::string_body> response = co_await answer(std::move(request));
+        if (is_commit && m_lose_answers > 0) {
+            --m_lose_answers;
+            co_return;
+        }
         std::ostringstream text;
         text << response;
         if (!co_await send(socket, text.str())) {
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -33,6 +33,7 @@
 
     std::size_t m_bytes_per_s = 0; ///< Of all answers together; zero sends without delay.
     unsigned m_refuse_status = 0;  ///< Status that every call is refused with; zero serves calls.
+    unsigned m_lose_answers = 0;   ///< Number of commits that take effect and get no answer.
     bool m_stall = false;          ///< Stops in the middle of answers until the caller hangs up.
 
 private:
