Lend machines whose runs end soon, and pace waves by what pools need

A pool that needed 156 machines kept 350 for three seconds: only machines without a run were lent, and a drain was given up after 1.2 s while tasks took 1.3 s and more. And the wave took 229 of 1,100 machines down in its first seconds of 26, while two queues needed more than there were.

Owners now report how long the runs of each machine are expected to take. A pool with a surplus lends machines whose runs should end within 2 s, those that end first first, and a drain is given up after 3 s. A wave occupies half of the machines that pools do not need, or as many as its deadline requires if that is more, takes machines of pools with a surplus first and idle ones before busy ones.

Tests: "a wave drains idle machines first", "a wave over needed machines takes as many at a time as its deadline requires", "a pool with a surplus lends machines whose runs end soon".

--- a/src/dispatch/machine_controller.cpp
+++ b/src/dispatch/machine_controller.cpp
@@ -327,7 +327,7 @@
         update_wave(wave, m_listings, upkeep_time, read_boot_clock());
         const bool urgent = is_deadline_at_risk(wave, upkeep_time, read_boot_clock());
         for (const auto& [pool, machines] :
-             select_machines_to_drain(wave, m_listings, m_loads, read_boot_clock())) {
+             select_machines_to_drain(wave, m_listings, m_loads, upkeep_time, read_boot_clock())) {
             cordon_request& request = requests[pool];
             request.m_service = pool;
             request.m_urgent = request.m_urgent || urgent;
@@ -389,7 +389,8 @@
     pool_load& load = m_loads[pool];
     load.m_needed_machines = reply->m_needed;
     for (const machine_report& machine : reply->m_machines) {
-        load.m_machines[machine_id(machine.m_machine)] = {machine.m_runs, machine.m_lasting};
+        load.m_machines[machine_id(machine.m_machine)] = {machine.m_runs, machine.m_lasting,
+                                                          milliseconds(machine.m_busy_ms)};
     }
 }
 
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -767,8 +767,9 @@
         const bool lasting =
             std::any_of(worker->m_runs.begin(), worker->m_runs.end(),
                         [](const auto& entry) { return entry.second.m_long_running; });
-        reply.m_machines.push_back({worker->m_info.m_machine.str(),
-                                    static_cast<std::uint32_t>(worker->m_runs.size()), lasting});
+        reply.m_machines.push_back(
+            {worker->m_info.m_machine.str(), static_cast<std::uint32_t>(worker->m_runs.size()),
+             lasting, static_cast<std::uint32_t>(expected_busy_time(*worker, now).count())});
     }
     schedule_plan();
     return reply;
--- a/src/fleet/pool_moves.cpp
+++ b/src/fleet/pool_moves.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// A move is cancelled when the machine's work does not end within this time.
-constexpr milliseconds drain_timeout{1200};
+/// A machine of a pool with a surplus is drained for a move if its runs should end within this
+/// time, and the move is cancelled when they have not ended within the second one.
+constexpr milliseconds max_drain_time{2000};
+constexpr milliseconds drain_timeout{3000};
 
 /// A move whose machine is not up in its new pool this long after the order was accepted is given
 /// up. A move without an answer is given up this long after its start.
@@ -32,8 +34,8 @@
     double m_needed_machines = 0;
     bool m_load_known = false;
     bool m_standby = false;
-    /// Machines without long-running tasks and their runs, fewest runs first.
-    std::vector<std::pair<std::uint32_t, machine_id>> m_movable;
+    /// Machines without long-running tasks and the time until their runs end, shortest first.
+    std::vector<std::pair<milliseconds, machine_id>> m_movable;
 };
 
 std::map<service_id, pool_balance> build_pool_balances(const move_state& state,
@@ -56,12 +58,12 @@
         ++pool.m_machine_count;
         const auto load = loads.find(listing.m_pool);
         if (pool.m_standby) {
-            pool.m_movable.emplace_back(0, listing.m_machine);
+            pool.m_movable.emplace_back(milliseconds(0), listing.m_machine);
         }
         else if (load != loads.end()) {
             const auto machine = load->second.m_machines.find(listing.m_machine);
             if (machine != load->second.m_machines.end() && !machine->second.m_has_long_running) {
-                pool.m_movable.emplace_back(machine->second.m_runs, listing.m_machine);
+                pool.m_movable.emplace_back(machine->second.m_busy_time, listing.m_machine);
             }
         }
     }
@@ -78,7 +80,7 @@
     return pools;
 }
 
-/// Starts the move of the donor's machine with the fewest runs.
+/// Starts the move of the donor's machine whose runs end first.
 void start_move(move_state& state, std::map<service_id, pool_balance>& pools,
                 const service_id& from, const service_id& to, time_point now)
 {
@@ -110,9 +112,8 @@
         }
         const double surplus = static_cast<double>(pool.m_machine_count) -
                                std::ceil(pool.m_needed_machines + donor_reserve);
-        // Only a machine without runs is given away.
         if (pool.m_load_known && surplus >= 1 && surplus > best_surplus &&
-            pool.m_movable.front().first == 0) {
+            pool.m_movable.front().first <= max_drain_time) {
             best = name;
             best_surplus = surplus;
         }
@@ -141,7 +142,8 @@
         }
         if (move.m_phase == move_phase::draining) {
             return now - move.m_since > drain_timeout ||
-                   found->second->m_state != machine_state::up;
+                   found->second->m_state != machine_state::up ||
+                   found->second->m_pool != move.m_from;
         }
         const bool joined =
             found->second->m_pool == move.m_to && found->second->m_state == machine_state::up;
@@ -192,7 +194,7 @@
         while (now - since > surplus_hold_time && started < move_limit &&
                pool.m_machine_count > initial_size &&
                static_cast<double>(pool.m_machine_count) > std::ceil(pool.m_needed_machines) + 1 &&
-               !pool.m_movable.empty() && pool.m_movable.front().first == 0) {
+               !pool.m_movable.empty() && pool.m_movable.front().first == milliseconds(0)) {
             start_move(state, pools, name, *standby_pools.begin(), now);
             ++started;
         }
--- a/src/fleet/pool_moves.h
+++ b/src/fleet/pool_moves.h
@@ -14,6 +14,7 @@
 struct machine_load {
     std::uint32_t m_runs = 0;        ///< Task runs on the machine.
     bool m_has_long_running = false; ///< At least one run is of a long-running task.
+    milliseconds m_busy_time{0};     ///< Expected time until the other runs have ended.
 };
 
 /// Load of a pool, as its owner reports it.
--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -1,6 +1,8 @@
 #include "fleet/upkeep_plan.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace guavabay {
 
@@ -12,6 +14,13 @@
 /// For each this many machines that may be away at a time, one more is drained ahead of its turn.
 constexpr std::uint32_t drain_ahead_divisor = 2;
 
+/// Share of the machines beyond what their pools need that a wave may occupy. The rest can be lent
+/// to the next pool that needs more machines.
+constexpr double idle_share = 0.5;
+
+/// A wave occupies at least this many machines, as far as its limit allows.
+constexpr std::size_t min_under_way = 4;
+
 /// The deadline is at risk when the remaining machines need more than this share of the remaining
 /// time. Work is then stopped to empty them.
 constexpr double max_time_share = 0.6;
@@ -38,15 +47,79 @@
         }));
 }
 
-bool runs_long_running_tasks(const std::map<service_id, pool_load>& loads,
-                             const machine_listing& listing)
+/// A waiting machine of a wave; a lower rank is drained first.
+struct waiting_machine {
+    machine_id m_machine;
+    bool m_has_long_running = false;
+    std::uint32_t m_runs = 0;
+
+    [[nodiscard]] auto rank() const { return std::tuple(m_has_long_running, m_runs); }
+};
+
+/// One pool's part in a wave.
+struct pool_in_wave {
+    double m_spare = 0; ///< Machines that are up beyond what the pool needs; 0 if unknown.
+    std::vector<waiting_machine> m_waiting; ///< In the order in which they are drained.
+    std::size_t m_next = 0;                 ///< Position among these.
+};
+
+std::map<service_id, pool_in_wave>
+find_waiting_machines(const upkeep_progress& wave, const std::vector<machine_listing>& listings,
+                      const std::map<service_id, pool_load>& loads)
+{
+    std::map<service_id, pool_in_wave> pools;
+    for (const machine_listing& listing : listings) {
+        pool_in_wave& pool = pools[listing.m_pool];
+        if (listing.m_state != machine_state::up) {
+            continue;
+        }
+        pool.m_spare += 1;
+        const auto found = wave.m_machines.find(listing.m_machine);
+        if (found == wave.m_machines.end() || found->second.m_phase != upkeep_phase::waiting) {
+            continue;
+        }
+        waiting_machine waiting{listing.m_machine};
+        const auto load = loads.find(listing.m_pool);
+        if (load != loads.end()) {
+            const auto machine = load->second.m_machines.find(listing.m_machine);
+            if (machine != load->second.m_machines.end()) {
+                waiting.m_has_long_running = machine->second.m_has_long_running;
+                waiting.m_runs = machine->second.m_runs;
+            }
+        }
+        pool.m_waiting.push_back(waiting);
+    }
+    for (auto& [name, pool] : pools) {
+        const auto load = loads.find(name);
+        pool.m_spare = load == loads.end() ? 0 : pool.m_spare - load->second.m_needed_machines;
+        std::stable_sort(pool.m_waiting.begin(), pool.m_waiting.end(),
+                         [](const waiting_machine& left, const waiting_machine& right) {
+                             return left.rank() < right.rank();
+                         });
+    }
+    return pools;
+}
+
+/// Number of machines that the wave may drain or have away now: as many as its deadline requires,
+/// or more while machines are idle.
+std::size_t limit_under_way(const upkeep_progress& wave,
+                            const std::map<service_id, pool_in_wave>& pools,
+                            milliseconds upkeep_time, time_point now)
 {
-    const auto pool = loads.find(listing.m_pool);
-    if (pool == loads.end()) {
-        return false;
+    const std::uint32_t max_concurrent = wave.m_wave.m_max_concurrent;
+    const std::size_t most =
+        max_concurrent + std::max<std::uint32_t>(1, max_concurrent / drain_ahead_divisor);
+    const double machine_ms = static_cast<double>(count_remaining(wave)) *
+                              static_cast<double>((upkeep_time + typical_drain_time).count());
+    const double time_left_ms = std::max(
+        1.0, max_time_share * to_milliseconds(wave.m_first_seen_at + wave.m_wave.m_duration - now));
+    double idle = 0;
+    for (const auto& [name, pool] : pools) {
+        idle += std::max(0.0, pool.m_spare);
     }
-    const auto machine = pool->second.m_machines.find(listing.m_machine);
-    return machine != pool->second.m_machines.end() && machine->second.m_has_long_running;
+    const double wanted = std::max(machine_ms / time_left_ms, idle * idle_share);
+    const double limited = std::min(std::ceil(wanted), static_cast<double>(most));
+    return std::min(std::max(min_under_way, static_cast<std::size_t>(limited)), most);
 }
 
 void set_phase(upkeep_machine& machine, upkeep_phase phase, time_point now)
@@ -100,7 +173,8 @@
 
 std::map<service_id, std::vector<machine_id>>
 select_machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
-                         const std::map<service_id, pool_load>& loads, time_point now)
+                         const std::map<service_id, pool_load>& loads, milliseconds upkeep_time,
+                         time_point now)
 {
     std::map<service_id, std::vector<machine_id>> drained;
     std::map<service_id, std::size_t> sizes;
@@ -115,9 +189,6 @@
             ++under_way;
         }
     }
-    const std::uint32_t max_concurrent = wave.m_wave.m_max_concurrent;
-    const std::size_t limit =
-        max_concurrent + std::max<std::uint32_t>(1, max_concurrent / drain_ahead_divisor);
     for (const machine_listing& listing : listings) {
         const auto found = wave.m_machines.find(listing.m_machine);
         if (found != wave.m_machines.end() && found->second.m_possibly_ordered &&
@@ -127,31 +198,35 @@
             ++under_way;
         }
     }
+    std::map<service_id, pool_in_wave> pools = find_waiting_machines(wave, listings, loads);
+    const std::size_t limit = limit_under_way(wave, pools, upkeep_time, now);
     while (under_way < limit) {
-        // Prefers a machine without long-running tasks, then the pool with the smallest drained
-        // share. A machine with such tasks is drained only when no other remains and no machine is
-        // under way.
-        const machine_listing* best = nullptr;
-        std::pair<bool, double> best_rank;
-        for (const machine_listing& listing : listings) {
-            const auto found = wave.m_machines.find(listing.m_machine);
-            if (found == wave.m_machines.end() || found->second.m_phase != upkeep_phase::waiting ||
-                listing.m_state != machine_state::up) {
+        // Prefers a machine without long-running tasks, then a pool with machines to spare, then a
+        // machine without runs, then the pool with the smallest drained share. A machine with
+        // long-running tasks is drained only when no other remains and no machine is under way.
+        const service_id* best = nullptr;
+        std::tuple<bool, bool, bool, double> best_rank;
+        for (const auto& [name, pool] : pools) {
+            if (pool.m_next == pool.m_waiting.size()) {
                 continue;
             }
-            const double share = static_cast<double>(drained[listing.m_pool].size()) /
-                                 static_cast<double>(sizes[listing.m_pool]);
-            const std::pair rank(runs_long_running_tasks(loads, listing), share);
+            const waiting_machine& first = pool.m_waiting[pool.m_next];
+            const double share =
+                static_cast<double>(drained[name].size()) / static_cast<double>(sizes[name]);
+            const std::tuple rank(first.m_has_long_running, pool.m_spare<1, first.m_runs> 0, share);
             if (best == nullptr || rank < best_rank) {
-                best = &listing;
+                best = &name;
                 best_rank = rank;
             }
         }
-        if (best == nullptr || (best_rank.first && under_way > 0)) {
+        if (best == nullptr || (std::get<0>(best_rank) && under_way > 0)) {
             break;
         }
-        set_phase(wave.m_machines[best->m_machine], upkeep_phase::draining, now);
-        drained[best->m_pool].push_back(best->m_machine);
+        pool_in_wave& pool = pools[*best];
+        const machine_id machine = pool.m_waiting[pool.m_next++].m_machine;
+        pool.m_spare -= 1;
+        set_phase(wave.m_machines[machine], upkeep_phase::draining, now);
+        drained[*best].push_back(machine);
         ++under_way;
     }
     return drained;
--- a/src/fleet/upkeep_plan.h
+++ b/src/fleet/upkeep_plan.h
@@ -48,10 +48,13 @@
 
 /// Selects further machines to drain and returns all machines that must accept no new work, by
 /// pool; a listed pool without such machines has an empty entry. Machines without long-running
-/// tasks go first, so that these tasks have time to leave the others.
+/// tasks go first, so that these tasks have time to leave the others, then those that their pools
+/// do not need. While all pools need their machines, the wave takes only as many at a time as it
+/// has to for its deadline.
 std::map<service_id, std::vector<machine_id>>
 select_machines_to_drain(upkeep_progress& wave, const std::vector<machine_listing>& listings,
-                         const std::map<service_id, pool_load>& loads, time_point now);
+                         const std::map<service_id, pool_load>& loads, milliseconds upkeep_time,
+                         time_point now);
 
 /// Returns the machines to send an upkeep order for now: draining ones that are in
 /// `empty_machines`, as far as the wave's limit of machines away at a time allows, and those whose
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -53,7 +53,7 @@
 template <typename Archive>
 void serialize(Archive& archive, machine_report& value)
 {
-    archive(value.m_machine, value.m_runs, value.m_lasting);
+    archive(value.m_machine, value.m_runs, value.m_lasting, value.m_busy_ms);
 }
 
 template <typename Archive>
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -71,6 +71,8 @@
     std::string m_machine;
     std::uint32_t m_runs = 0;
     bool m_lasting = false;
+    std::uint32_t m_busy_ms =
+        0; ///< Expected time until its runs, but for lasting ones, have ended.
 };
 
 /// Machines of a cordon on which nothing runs any more, and what the pool needs.
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -37,6 +37,9 @@
 /// Age up to which the pool's capacity is not determined anew.
 constexpr milliseconds capacity_validity{10};
 
+/// Time that a run is expected to take on when it has exceeded its estimate.
+constexpr milliseconds overdue_run_time{200};
+
 /// Share of a machine's capacity that tasks of different sizes can fill.
 constexpr double packing_efficiency = 0.9;
 
@@ -136,6 +139,19 @@
     rate.m_at = now;
 }
 
+milliseconds expected_busy_time(const worker_record& worker, time_point now)
+{
+    milliseconds longest{0};
+    for (const auto& [key, slot] : worker.m_runs) {
+        if (slot.m_long_running) {
+            continue;
+        }
+        const auto elapsed = std::chrono::duration_cast<milliseconds>(now - slot.m_ordered_at);
+        longest = std::max({longest, slot.m_estimate - elapsed, overdue_run_time});
+    }
+    return longest;
+}
+
 double machines_needed(const shard& state, time_point now)
 {
     double backlog_cores = 0;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -357,6 +357,9 @@
 /// True if the machine's worker is known and cordoned, has answered and has no runs.
 bool is_clear(const shard& state, const machine_id& machine);
 
+/// Expected time until all runs of a worker but the long-running ones have ended.
+milliseconds expected_busy_time(const worker_record& worker, time_point now);
+
 /// Number of machines that the backlog, long-running tasks and expected arrivals need.
 double machines_needed(const shard& state, time_point now);
 
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -54,8 +54,8 @@
         }
         update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
         std::set<machine_id> empty_machines;
-        for (const auto& [pool, machines] :
-             select_machines_to_drain(fixture.m_wave, fixture.m_listings, {}, fixture.m_now)) {
+        for (const auto& [pool, machines] : select_machines_to_drain(
+                 fixture.m_wave, fixture.m_listings, {}, upkeep_time, fixture.m_now)) {
             empty_machines.insert(machines.begin(), machines.end());
         }
         for (const machine_id& id :
@@ -84,8 +84,8 @@
     wave_fixture fixture(4, 1);
     update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
     std::set<machine_id> empty_machines;
-    for (const auto& [pool, machines] :
-         select_machines_to_drain(fixture.m_wave, fixture.m_listings, {}, fixture.m_now)) {
+    for (const auto& [pool, machines] : select_machines_to_drain(fixture.m_wave, fixture.m_listings,
+                                                                 {}, upkeep_time, fixture.m_now)) {
         empty_machines.insert(machines.begin(), machines.end());
     }
     const auto first = select_machines_to_order(fixture.m_wave, empty_machines, fixture.m_now);
@@ -112,7 +112,7 @@
     for (const machine_listing& listing : fixture.m_listings) {
         empty_machines.insert(listing.m_machine);
     }
-    select_machines_to_drain(fixture.m_wave, fixture.m_listings, {}, fixture.m_now);
+    select_machines_to_drain(fixture.m_wave, fixture.m_listings, {}, upkeep_time, fixture.m_now);
     // The order that may have been sent is sent again. The limit leaves no room for another, since
     // one machine is down already.
     CHECK(select_machines_to_order(fixture.m_wave, empty_machines, fixture.m_now) ==
@@ -135,8 +135,8 @@
     for (int i = 0; i < 40; ++i) {
         fixture.m_now += milliseconds(100);
         update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
-        for (const auto& [pool, machines] :
-             select_machines_to_drain(fixture.m_wave, fixture.m_listings, {}, fixture.m_now)) {
+        for (const auto& [pool, machines] : select_machines_to_drain(
+                 fixture.m_wave, fixture.m_listings, {}, upkeep_time, fixture.m_now)) {
             for (const machine_id& id : select_machines_to_order(
                      fixture.m_wave, {machines.begin(), machines.end()}, fixture.m_now)) {
                 CHECK(id == machine_id("m1"));
@@ -145,4 +145,56 @@
     }
 }
 
+namespace {
+
+/// Loads under which the even machines are all needed and the odd ones are idle.
+std::map<service_id, pool_load> busy_even_pool(const wave_fixture& fixture)
+{
+    std::map<service_id, pool_load> loads;
+    loads[service_id("odd")].m_needed_machines = 2;
+    loads[service_id("even")].m_needed_machines =
+        static_cast<double>(fixture.m_listings.size()) / 2;
+    for (const machine_listing& listing : fixture.m_listings) {
+        const bool busy = listing.m_pool == service_id("even");
+        loads[listing.m_pool].m_machines[listing.m_machine] = {busy ? 3U : 0U, false,
+                                                               milliseconds(busy ? 900 : 0)};
+    }
+    return loads;
+}
+
+} // namespace
+
+// Guards against a wave that takes as many machines as it may at its beginning, when a queue's
+// demand needs them.
+TEST_CASE("a wave drains idle machines first and leaves half of them to be lent", "[upkeep]")
+{
+    wave_fixture fixture(200, 100);
+    fixture.m_wave.m_wave.m_duration = milliseconds(60000);
+    const auto drained = select_machines_to_drain(
+        fixture.m_wave, fixture.m_listings, busy_even_pool(fixture), upkeep_time, fixture.m_now);
+    CHECK(drained.at(service_id("even")).empty());
+    CHECK(drained.at(service_id("odd")).size() <= 50);
+    CHECK(drained.at(service_id("odd")).size() >= 40);
+}
+
+TEST_CASE("a wave over needed machines takes as many at a time as its deadline requires",
+          "[upkeep]")
+{
+    wave_fixture fixture(200, 100);
+    std::map<service_id, pool_load> loads = busy_even_pool(fixture);
+    loads[service_id("odd")].m_needed_machines = 100;
+    fixture.m_wave.m_wave.m_duration = milliseconds(40000);
+    const auto count = [&] {
+        const auto drained = select_machines_to_drain(fixture.m_wave, fixture.m_listings, loads,
+                                                      upkeep_time, fixture.m_now);
+        return drained.at(service_id("even")).size() + drained.at(service_id("odd")).size();
+    };
+    // 200 machines for 3.5 s each within 60 percent of 40 s.
+    const std::size_t at_first = count();
+    CHECK(at_first >= 200 * 3.5 / 40);
+    CHECK(at_first <= 60);
+    fixture.m_now += milliseconds(30000);
+    CHECK(count() > 100);
+}
+
 } // namespace guavabay
--- a/tests/schedule/load_patterns_test.cpp
+++ b/tests/schedule/load_patterns_test.cpp
@@ -94,7 +94,7 @@
             listings.push_back(machine(number, pool));
             if (pool != "spare") {
                 loads[service_id(pool)].m_machines[machine_id("m" + std::to_string(number))] = {
-                    pool == "busy" ? 5U : 0U, i < 2};
+                    pool == "busy" ? 5U : 0U, i < 2, milliseconds(pool == "busy" ? 5000 : 0)};
             }
             ++number;
         }
@@ -143,7 +143,8 @@
         loads[service_id("busy")].m_needed_machines = 1;
         for (const machine_listing& listing : listings) {
             if (listing.m_pool == service_id("busy")) {
-                loads[service_id("busy")].m_machines[listing.m_machine] = {0, false};
+                loads[service_id("busy")].m_machines[listing.m_machine] = {0, false,
+                                                                           milliseconds(0)};
             }
         }
         choose_moves(state, listings, loads, standby, {}, now);
@@ -171,6 +172,34 @@
     }
 }
 
+// Guards against machines that stay with a queue after its peak because short runs keep each of
+// them busy: only machines without runs were lent, and the drain ended before the runs did.
+TEST_CASE("a pool with a surplus lends machines whose runs end soon", "[load]")
+{
+    std::vector<machine_listing> listings;
+    std::map<service_id, pool_load> loads;
+    for (int i = 0; i < 20; ++i) {
+        listings.push_back(machine(i, i < 12 ? "ending" : "rising"));
+        // Every other machine of the donor runs a task of several seconds.
+        const milliseconds busy(i % 2 == 0 ? 900 : 5000);
+        loads[listings.back().m_pool].m_machines[listings.back().m_machine] = {3, false, busy};
+    }
+    loads[service_id("ending")].m_needed_machines = 4;
+    loads[service_id("rising")].m_needed_machines = 30;
+    move_state state;
+    time_point now{seconds(100)};
+    update_moves(state, listings, now);
+    choose_moves(state, listings, loads, {}, {}, now);
+    CHECK(state.m_moves.size() == 6);
+    for (const auto& [id, move] : state.m_moves) {
+        CHECK(loads[service_id("ending")].m_machines[id].m_busy_time == milliseconds(900));
+    }
+    // A run that takes longer than expected does not cancel the drain at once.
+    now += milliseconds(2000);
+    update_moves(state, listings, now);
+    CHECK(state.m_moves.size() == 6);
+}
+
 // The demand of one queue ends with a large backlog while that of another, in a small pool, begins.
 TEST_CASE("pools get machines in proportion to the share that they lack", "[load]")
 {
@@ -183,7 +212,7 @@
             listings.push_back(machine(number, pool));
             if (pool != "spare") {
                 loads[service_id(pool)].m_machines[machine_id("m" + std::to_string(number))] = {
-                    5U, false};
+                    5U, false, milliseconds(5000)};
             }
             ++number;
         }
