Report the outcome of a store call as unknown if its first attempt may have taken effect

A host that the store does not serve repeats a failed call through a peer. If the answer to the direct attempt of a log write was lost and the store then refused the peer's attempt, the write counted as refused: the owner withdrew the submission and told its caller with 503 that it had not been accepted, although it was in the log and the next owner would run it. Found by reading, for the hazard of denied work.

The outcome of the call is now unknown in that case, so that the owner settles it by a conflict with its own record. Ruled out: a fault of the owner, which handles unknown outcomes already.

Test: "a write whose answer was lost does not count as refused when a peer's attempt is", fails without the change in 3 of 3 runs and passes with it in 3 of 3.

--- a/src/dispatch/store_client.cpp
+++ b/src/dispatch/store_client.cpp
@@ -99,6 +99,7 @@
                                                 time_point* last_received_at)
 {
     std::vector<std::string> peers;
+    bool may_take_effect = false;
     if (m_consecutive_failures >= failures_before_relay && m_relay_peers) {
         peers = m_relay_peers();
     }
@@ -111,9 +112,15 @@
         if (is_served(answer) || peers.empty()) {
             co_return answer;
         }
+        may_take_effect = answer.m_progress == call_progress::unknown;
     }
     std::string peer = peers[m_next_relay++ % peers.size()];
-    co_return co_await call_relayed(std::move(peer), std::move(store_request), timeout);
+    http_answer answer = co_await call_relayed(std::move(peer), std::move(store_request), timeout);
+    if (may_take_effect && !is_served(answer)) {
+        // A refusal of the second attempt says nothing about the first one.
+        answer.m_progress = call_progress::unknown;
+    }
+    co_return answer;
 }
 
 } // namespace guavabay
--- a/src/dispatch/store_client.h
+++ b/src/dispatch/store_client.h
@@ -26,7 +26,8 @@
     /// Makes a call, relayed by a peer while the store does not serve this host. A direct attempt
     /// that fails may precede the relayed one, so that the whole may take longer than the timeout.
     /// The timeout applies until an answer begins; an answer that keeps arriving is not abandoned.
-    /// Failures are reported in the progress and status of the answer. Sets the time at which data
+    /// Failures are reported in the progress and status of the answer; its progress is unknown if
+    /// any attempt may have taken effect and none was served. Sets the time at which data
     /// of a successful answer last arrived on a direct call, if it is asked for.
     asio::awaitable<http_answer> call(http_call store_request, milliseconds timeout,
                                       time_point* last_received_at = nullptr);
--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -43,10 +43,9 @@
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
     }
 
-    /// Submits and returns the owner's answer.
-    owner_answer submit(const std::string& id)
+    /// Submits; the owner's answer is set when it comes.
+    void start_submit(const std::string& id, std::optional<owner_answer>& answer)
     {
-        std::optional<owner_answer> answer;
         asio::co_spawn(
             m_context,
             [this, id, &answer]() -> asio::awaitable<void> {
@@ -55,6 +54,13 @@
                 answer = (co_await m_owner->submit(queue, submission_id(id), work)).m_answer;
             },
             asio::detached);
+    }
+
+    /// Submits and returns the owner's answer.
+    owner_answer submit(const std::string& id)
+    {
+        std::optional<owner_answer> answer;
+        start_submit(id, answer);
         REQUIRE(run_until(m_context, [&] { return answer.has_value(); }));
         return *answer;
     }
@@ -68,6 +74,11 @@
     /// Makes a relayed call to the store, as a peer that the store serves does.
     asio::awaitable<std::optional<host_message>> relay(host_message message)
     {
+        if (m_relay_refuses) {
+            relay_reply refusal;
+            refusal.m_status = 503;
+            co_return host_message(refusal);
+        }
         relay_request request = std::get<relay_request>(std::move(message));
         http_call call{request.m_method, request.m_target, {}, request.m_body};
         const http_answer answer =
@@ -96,6 +107,7 @@
                          return relay(std::move(message));
                      }};
     std::vector<std::string> m_peers;
+    bool m_relay_refuses = false; ///< The store refuses the calls that the peer relays.
     revision m_token;
     std::shared_ptr<shard_owner> m_owner;
 };
@@ -148,6 +160,33 @@
     CHECK(owned.m_owner->is_alive());
 }
 
+// Guards against callers that are told that their submission was not accepted although it is stored
+// and will run: the answer to its write was lost, and the store refused the attempt through a peer.
+TEST_CASE("a write whose answer was lost does not count as refused when a peer's attempt is",
+          "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    owned.m_store.m_refuse_status = 503;
+    owned.submit("0000000000000002");
+    owned.m_peers = {"127.0.0.1:" + std::to_string(owned.m_peer_address.m_port)};
+    owned.m_relay_refuses = true;
+    owned.m_store.m_refuse_status = 0;
+    owned.m_context.run_for(milliseconds(700));
+    owned.m_store.m_lose_answers = 1;
+    std::optional<owner_answer> answer;
+    owned.start_submit("0000000000000003", answer);
+    REQUIRE(run_until(owned.m_context, [&] { return owned.m_store.m_lose_answers == 0; }));
+    owned.m_store.m_refuse_status = 503;
+    owned.m_context.run_for(milliseconds(900));
+    CHECK_FALSE(answer);
+    owned.m_store.m_refuse_status = 0;
+    REQUIRE(run_until(owned.m_context, [&] { return answer.has_value(); }));
+    CHECK(*answer == owner_answer::done);
+    CHECK(owned.m_owner->is_alive());
+}
+
 TEST_CASE("an exception in a spawned coroutine ends neither the context nor other coroutines",
           "[owner_faults]")
 {
