Give shards that lose their owners at the same time to different hosts

Each host ranked the candidates for each shard without an owner by itself, with the owners known so far. With 15 equal strong hosts and six shards two shards then have the same first candidate in two of three cases, and one half-core host owns two busy services while others own none; it does not give one up while it has open submissions, which a service with long-running tasks always has.

The shards are now ranked one after the other, each as if the ones before it had their first candidates, by all hosts from the same records.

--- a/src/dispatch/ownership.cpp
+++ b/src/dispatch/ownership.cpp
@@ -33,6 +33,31 @@
                       [&](const auto& entry) { return entry.second.m_host.m_host == host; }));
 }
 
+/// Hosts that may take over a shard, the first one first.
+std::vector<host_id> rank_candidates(const std::map<host_id, host_record>& members,
+                                     const std::map<service_id, owner_record>& owners,
+                                     const service_id& shard)
+{
+    std::map<host_id, std::size_t> owned;
+    for (const auto& [name, owner] : owners) {
+        ++owned[owner.m_host.m_host];
+    }
+    std::vector<std::tuple<double, std::uint64_t, host_id>> keyed;
+    for (const auto& [host, record] : members) {
+        if (!record.m_leaving) {
+            const auto load = static_cast<double>(owned[host] + 1);
+            keyed.emplace_back(load / std::max(record.m_capacity, min_capacity),
+                               mix(stable_hash(host.str()), stable_hash(shard.str())), host);
+        }
+    }
+    std::sort(keyed.begin(), keyed.end());
+    std::vector<host_id> candidates;
+    for (const auto& [load, hash, host] : keyed) {
+        candidates.push_back(host);
+    }
+    return candidates;
+}
+
 } // namespace
 
 std::string encode_host_record(const host_record& record)
@@ -70,21 +95,30 @@
                                          const std::map<service_id, owner_record>& owners,
                                          const service_id& shard, const host_id& self)
 {
-    std::vector<std::tuple<double, std::uint64_t, host_id>> candidates;
-    for (const auto& [host, record] : members) {
-        if (!record.m_leaving) {
-            const auto load = static_cast<double>(count_owned_shards(owners, host) + 1);
-            candidates.emplace_back(load / std::max(record.m_capacity, min_capacity),
-                                    mix(stable_hash(host.str()), stable_hash(shard.str())), host);
-        }
+    const std::vector<host_id> candidates = rank_candidates(members, owners, shard);
+    const auto found = std::find(candidates.begin(), candidates.end(), self);
+    if (found == candidates.end()) {
+        return fail("this host is leaving or not registered");
     }
-    std::sort(candidates.begin(), candidates.end());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (std::get<2>(candidates[i]) == self) {
-            return i;
+    return static_cast<std::size_t>(found - candidates.begin());
+}
+
+std::map<service_id, std::size_t> takeover_ranks(const std::map<host_id, host_record>& members,
+                                                 std::map<service_id, owner_record> owners,
+                                                 const std::set<service_id>& ownerless,
+                                                 const host_id& self)
+{
+    std::map<service_id, std::size_t> ranks;
+    for (const service_id& shard : ownerless) {
+        const std::vector<host_id> candidates = rank_candidates(members, owners, shard);
+        const auto found = std::find(candidates.begin(), candidates.end(), self);
+        if (found == candidates.end()) {
+            return {};
         }
+        ranks[shard] = static_cast<std::size_t>(found - candidates.begin());
+        owners[shard].m_host = members.at(candidates.front());
     }
-    return fail("this host is leaving or not registered");
+    return ranks;
 }
 
 std::optional<service_id> find_surplus_shard(const std::map<host_id, host_record>& members,
--- a/src/dispatch/ownership.h
+++ b/src/dispatch/ownership.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,6 +52,15 @@
                                          const std::map<service_id, owner_record>& owners,
                                          const service_id& shard, const host_id& self);
 
+/// Ranks of a host among the candidates for shards without an owner, by shard. For the ranking of
+/// each shard the ones before it count as owned by their first candidates, so that shards which
+/// lose their owners at the same time get different hosts. Empty if the host is leaving or not
+/// registered.
+std::map<service_id, std::size_t> takeover_ranks(const std::map<host_id, host_record>& members,
+                                                 std::map<service_id, owner_record> owners,
+                                                 const std::set<service_id>& ownerless,
+                                                 const host_id& self);
+
 /// Returns a shard that a host should release because another host that is not leaving owns at
 /// least two fewer and has no less capacity; empty with a reason if there is none.
 std::optional<service_id> find_surplus_shard(const std::map<host_id, host_record>& members,
--- a/src/dispatch/registry.cpp
+++ b/src/dispatch/registry.cpp
@@ -1,5 +1,8 @@
 #include "dispatch/registry.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "core/result.h"
 #include "dispatch/retry_backoff.h"
 #include "log/log.h"
@@ -210,6 +213,11 @@
             m_self.m_leaving || now > m_lease_valid_until) {
             continue;
         }
+        std::set<service_id> ownerless;
+        std::copy_if(m_shards.begin(), m_shards.end(), std::inserter(ownerless, ownerless.end()),
+                     [this](const service_id& shard) { return !m_owners.contains(shard); });
+        const std::map<service_id, std::size_t> ranks =
+            takeover_ranks(m_members, m_owners, ownerless, m_self.m_host);
         for (const service_id& shard : m_shards) {
             const auto owner = m_owners.find(shard);
             const bool owned_by_previous_incarnation =
@@ -220,11 +228,11 @@
                 continue;
             }
             const time_point since = m_ownerless_since.try_emplace(shard, now).first->second;
-            const std::optional<std::size_t> rank =
-                takeover_rank(m_members, m_owners, shard, m_self.m_host);
+            const auto rank = ranks.find(shard);
             const bool may_claim =
                 owned_by_previous_incarnation ||
-                (rank && now - since >= static_cast<int>(*rank) * takeover_rank_delay);
+                (rank != ranks.end() &&
+                 now - since >= static_cast<int>(rank->second) * takeover_rank_delay);
             if (may_claim && !m_claims_in_flight.contains(shard)) {
                 m_claims_in_flight.insert(shard);
                 spawn(m_context, "a claim of a shard", claim_shard(shard));
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -54,6 +54,38 @@
     CHECK_FALSE(takeover_rank(members, owners, service_id("x"), host_id("h0")));
 }
 
+// Guards against a busy host that owns two shards while others own none: all shards lose their
+// owners at once, and each was given to its best candidate regardless of the others.
+TEST_CASE("shards that lose their owners at the same time get different hosts", "[ownership]")
+{
+    std::set<service_id> shards;
+    for (int shard = 0; shard < 6; ++shard) {
+        shards.emplace("s" + std::to_string(shard));
+    }
+    for (int fleet = 0; fleet < 20; ++fleet) {
+        std::map<host_id, host_record> members;
+        for (int i = 0; i < 147; ++i) {
+            const host_id host("f" + std::to_string(fleet) + "-" + std::to_string(i));
+            const double capacity = i < 15 ? 0.5 : 0.12;
+            members[host] = {host, 1, "10.0.0.1:70", zone_id("z"), false, capacity};
+        }
+        std::map<service_id, std::size_t> first_candidates;
+        for (const auto& [host, record] : members) {
+            std::size_t claimed = 0;
+            for (const auto& [shard, rank] : takeover_ranks(members, {}, shards, host)) {
+                claimed += rank == 0 ? 1 : 0;
+                first_candidates[shard] += rank == 0 ? 1 : 0;
+            }
+            CAPTURE(host.str());
+            CHECK(claimed <= (record.m_capacity > 0.4 ? 1 : 0));
+        }
+        CHECK(first_candidates.size() == shards.size());
+        for (const auto& [shard, candidates] : first_candidates) {
+            CHECK(candidates == 1);
+        }
+    }
+}
+
 TEST_CASE("a host that owns two shards more than another releases one", "[ownership]")
 {
     const auto members = make_members(3);
