Let owners of large fleets know when the store serves no host, and count only what peers reported

While the store serves nobody, nobody can take a shard over, and its owner goes on beyond its lease if a majority of the hosts reports so. Hosts greet 16 of their peers a second, so that with 147 hosts an owner hears from about 25 in the 1.6 s for which a report counts: never a majority. Owners of large fleets stopped starting tasks 1.6 s after the store did and let the leases of workers end 5 s later. Found by reading; the deployments up to 44 hosts are not affected.

An owner that the store does not answer now asks all peers whose last report is older than 300 ms, each 200 ms, by a message of its own that carries nothing else, since a greeting can bring the configuration.

A peer that a host had only learned of counted as heard from just then, with no store: after a restart an owner could go on beyond its lease on the word of hosts that had said nothing. Such a peer now counts as no report. The check in ownership_test that expected the opposite is replaced: it took added peers for ones that had reported; it now requires that they do not count, and that reported ones do.

The progress of a relayed store call is checked when the message is decoded.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -37,6 +37,11 @@
 constexpr milliseconds greeting_interval{500};
 constexpr std::size_t max_greetings_per_round = 8;
 
+/// Interval of rounds in which an owner that the store does not answer asks its peers whether the
+/// store answers them, and the time limit of a reply.
+constexpr milliseconds store_question_interval{200};
+constexpr milliseconds store_question_timeout{400};
+
 /// Time limit until a peer's reply with the configuration arrives or is arriving, and the longest
 /// pause while it arrives.
 constexpr milliseconds config_fetch_timeout{1500};
@@ -141,6 +146,8 @@
     m_registry.start();
     spawn_loop(m_context, "the reading of the worker list", [this] { return poll_worker_list(); });
     spawn_loop(m_context, "the greeting of peers", [this] { return send_greetings(); });
+    spawn_loop(m_context, "the questions about the store",
+               [this] { return ask_about_store_loop(); });
     spawn_loop(m_context, "the balance of shards", [this] { return rebalance_shards(); });
 }
 
@@ -358,6 +365,33 @@
     }
 }
 
+asio::awaitable<void> dispatcher::ask_about_store_loop()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        if (!m_owners.empty() && !m_store.is_available()) {
+            for (const std::string& peer : select_peers_to_ask(m_peer_table, read_boot_clock())) {
+                spawn(m_context, "a question about the store", ask_about_store(peer));
+            }
+        }
+        timer.expires_after(store_question_interval);
+        error_code ignored;
+        co_await timer.async_wait(to_coroutine(ignored));
+    }
+}
+
+asio::awaitable<void> dispatcher::ask_about_store(std::string peer)
+{
+    std::string address = peer;
+    host_message question(store_status_request{});
+    const std::optional<host_message> reply = co_await m_peer_link.call(
+        std::move(address), std::move(question), store_question_timeout, nullptr);
+    const auto* status = reply ? std::get_if<store_status_reply>(&*reply) : nullptr;
+    if (status != nullptr) {
+        record_store_report(m_peer_table, peer, status->m_store_answers, read_boot_clock());
+    }
+}
+
 asio::awaitable<void> dispatcher::poll_worker_list()
 {
     asio::steady_timer timer(m_context);
@@ -706,6 +740,9 @@
         host_message reply = co_await m_worker_client.relay_hold(std::move(*hold));
         co_return std::optional<host_message>(std::move(reply));
     }
+    if (std::holds_alternative<store_status_request>(message)) {
+        co_return host_message(store_status_reply{m_store.is_available()});
+    }
     if (const auto* request = std::get_if<cordon_request>(&message)) {
         cordon_reply reply;
         const auto found = m_owners.find(request->m_service);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -63,6 +63,10 @@
     asio::awaitable<std::optional<cordon_reply>> request_cordon(cordon_request request);
     asio::awaitable<void> poll_worker_list();
     asio::awaitable<void> send_greetings();
+    /// Asks peers at intervals whether the store answers them, while it does not answer this host
+    /// and this host owns shards.
+    asio::awaitable<void> ask_about_store_loop();
+    asio::awaitable<void> ask_about_store(std::string peer);
     /// Releases a shard at intervals while this host owns too many.
     asio::awaitable<void> rebalance_shards();
     asio::awaitable<void> shut_down();
--- a/src/dispatch/peer_table.cpp
+++ b/src/dispatch/peer_table.cpp
@@ -9,6 +9,9 @@
 /// A peer's report counts for this long after it was received.
 constexpr milliseconds peer_state_validity{1600};
 
+/// A peer whose last report is younger is not asked for another one.
+constexpr milliseconds fresh_report_age{300};
+
 /// A peer that is not heard from for this long is removed.
 constexpr seconds peer_expiry{20};
 
@@ -17,18 +20,40 @@
 void add_peer(peer_table& table, const std::string& address, time_point now)
 {
     if (address != table.m_own_address && !address.empty()) {
-        table.m_peers.try_emplace(address, peer_state{now, false, 0});
+        table.m_peers.try_emplace(address, peer_state{std::nullopt, false, 0, now});
     }
 }
 
+void record_store_report(peer_table& table, const std::string& address, bool store_answers,
+                         time_point now)
+{
+    const auto found = table.m_peers.find(address);
+    if (found != table.m_peers.end()) {
+        found->second.m_last_heard_at = now;
+        found->second.m_store_answers = store_answers;
+    }
+}
+
+std::vector<std::string> select_peers_to_ask(const peer_table& table, time_point now)
+{
+    std::vector<std::string> peers;
+    for (const auto& [address, peer] : table.m_peers) {
+        if (!peer.m_last_heard_at || now - *peer.m_last_heard_at >= fresh_report_age) {
+            peers.push_back(address);
+        }
+    }
+    return peers;
+}
+
 void remove_stale_peers(peer_table& table, const std::vector<std::string>& members, time_point now)
 {
     std::erase_if(table.m_peers, [&](const auto& entry) {
         const auto listed = [&](const std::vector<std::string>& list) {
             return std::find(list.begin(), list.end(), entry.first) != list.end();
         };
-        return now - entry.second.m_last_heard_at > peer_expiry && !listed(members) &&
-               !listed(table.m_seeds);
+        const peer_state& peer = entry.second;
+        return now - peer.m_last_heard_at.value_or(peer.m_known_since) > peer_expiry &&
+               !listed(members) && !listed(table.m_seeds);
     });
 }
 
@@ -51,7 +76,7 @@
 
 bool is_recent(const peer_state& peer, time_point now)
 {
-    return now - peer.m_last_heard_at < peer_state_validity;
+    return peer.m_last_heard_at && now - *peer.m_last_heard_at < peer_state_validity;
 }
 
 std::vector<std::string> peers_with_store(const peer_table& table, time_point now)
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,9 +12,10 @@
 
 /// State that another host reported in its last message.
 struct peer_state {
-    time_point m_last_heard_at{};
-    bool m_store_answers = false;       ///< The store answers that host.
-    std::int64_t m_config_revision = 0; ///< Newest configuration known to that host.
+    std::optional<time_point> m_last_heard_at; ///< Empty before its first message.
+    bool m_store_answers = false;              ///< The store answers that host.
+    std::int64_t m_config_revision = 0;        ///< Newest configuration known to that host.
+    time_point m_known_since{};                ///< When its address was learned.
 };
 
 /// The other hosts by address, collected from the settings, the store and messages of peers.
@@ -23,10 +25,19 @@
     std::map<std::string, peer_state> m_peers;
 };
 
-/// Adds the address of a possible peer as heard now, unless it is empty, already known or the
-/// host's own.
+/// Adds the address of a possible peer, unless it is empty, already known or the host's own. It
+/// counts as not heard from.
 void add_peer(peer_table& table, const std::string& address, time_point now);
 
+/// Records what a peer reported about the store.
+void record_store_report(peer_table& table, const std::string& address, bool store_answers,
+                         time_point now);
+
+/// Returns the peers to ask whether the store answers them: those whose last report is no longer
+/// fresh. Messages that rotate through all peers reach a host of a large fleet too rarely to tell
+/// whether a majority is without the store.
+std::vector<std::string> select_peers_to_ask(const peer_table& table, time_point now);
+
 /// Removes peers that were not heard from for 20 s and are neither seeds nor in the list of
 /// members.
 void remove_stale_peers(peer_table& table, const std::vector<std::string>& members, time_point now);
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "core/result.h"
+#include "net/http_call.h"
 #include "peer/bounded_archive.h"
 
 namespace guavabay {
@@ -142,6 +143,19 @@
     archive(value.m_outcome, value.m_report);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, store_status_request& value)
+{
+    (void)archive;
+    (void)value;
+}
+
+template <typename Archive>
+void serialize(Archive& archive, store_status_reply& value)
+{
+    archive(value.m_store_answers);
+}
+
 namespace {
 
 /// Checks that the enumerated values of a message are ones of their enumerations.
@@ -152,6 +166,11 @@
                reply.m_state <= submission_state::canceled;
     }
 
+    bool operator()(const relay_reply& reply) const
+    {
+        return reply.m_progress <= static_cast<std::uint8_t>(call_progress::unknown);
+    }
+
     bool operator()(const worker_order_request& request) const
     {
         return request.m_order.m_kind <= worker_order::kind::pace;
@@ -196,7 +215,9 @@
         "worker_order_request",
         "worker_order_reply",
         "worker_hold_request",
-        "worker_hold_reply"};
+        "worker_hold_reply",
+        "store_status_request",
+        "store_status_reply"};
     return names.at(kind);
 }
 
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -133,11 +133,20 @@
     worker_report m_report; ///< Empty unless the hold was accepted.
 };
 
+/// Asks whether the store answers the receiver.
+struct store_status_request {};
+
+/// Whether the store answered the sender's last call.
+struct store_status_reply {
+    bool m_store_answers = false;
+};
+
 /// One message between two hosts; a reply carries the number of its request.
 using host_message =
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
                  relay_request, greeting, owner_reply, cordon_reply, relay_reply,
-                 worker_order_request, worker_order_reply, worker_hold_request, worker_hold_reply>;
+                 worker_order_request, worker_order_reply, worker_hold_request, worker_hold_reply,
+                 store_status_request, store_status_reply>;
 
 /// Name of a message's kind, given as the index of the alternative, for metrics.
 std::string_view message_name(std::size_t kind);
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -107,6 +107,11 @@
         add_peer(table, "10.0.0." + std::to_string(i) + ":70", now);
     }
     CHECK(table.m_peers.size() == 3);
+    // Peers that were never heard from have reported nothing.
+    CHECK_FALSE(is_store_unreachable_for_majority(table, 4, now));
+    for (int i = 1; i < 4; ++i) {
+        record_store_report(table, "10.0.0." + std::to_string(i) + ":70", false, now);
+    }
     CHECK(is_store_unreachable_for_majority(table, 4, now));
     table.m_peers["10.0.0.1:70"].m_store_answers = true;
     CHECK_FALSE(is_store_unreachable_for_majority(table, 4, now));
--- a/tests/dispatch/worker_client_test.cpp
+++ b/tests/dispatch/worker_client_test.cpp
@@ -248,4 +248,8 @@
     worker_hold_reply report{order_outcome::accepted, {}};
     report.m_report.m_ended.push_back({1, {}, {}, static_cast<run_end>(50), ""});
     CHECK_FALSE(decodes(report));
+    relay_reply relayed;
+    CHECK(decodes(relayed));
+    relayed.m_progress = 7;
+    CHECK_FALSE(decodes(relayed));
 }
