Maintain machines that return to the platform's list

A machine that was missing from the list for 3 s counted as gone for good, also when it came back: the wave was reported as succeeded without it. It now waits for its maintenance again as long as the wave is not reported as succeeded. Found by reading, for the hazard of machines that were only silent.

Test: "a machine that returns to the list after a while is maintained after all", fails without it.

--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -140,10 +140,16 @@
         listed[listing.m_machine] = &listing;
     }
     for (auto& [id, machine] : wave.m_machines) {
+        const auto found = listed.find(id);
+        const bool is_back =
+            found != listed.end() && machine.m_missing_since != time_point{} && !wave.m_succeeded;
+        if (machine.m_phase == upkeep_phase::done && is_back && !machine.m_order_accepted) {
+            // The machine was taken for one that had left the fleet.
+            set_phase(machine, upkeep_phase::waiting, now);
+        }
         if (machine.m_phase == upkeep_phase::done) {
             continue;
         }
-        const auto found = listed.find(id);
         if (found == listed.end()) {
             if (machine.m_missing_since == time_point{}) {
                 machine.m_missing_since = now;
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -100,6 +100,24 @@
     CHECK(again == first);
 }
 
+// Guards against a wave that is reported as succeeded although a machine that stays was left out:
+// the machine was missing from the list for a while and counted as gone for good.
+TEST_CASE("a machine that returns to the list after a while is maintained after all", "[upkeep]")
+{
+    wave_fixture fixture(2, 1);
+    const machine_listing listing = fixture.m_listings.back();
+    fixture.m_listings.pop_back();
+    update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
+    fixture.m_now += milliseconds(3500);
+    update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
+    REQUIRE(fixture.m_wave.m_machines[listing.m_machine].m_phase == upkeep_phase::done);
+    fixture.m_listings.push_back(listing);
+    update_wave(fixture.m_wave, fixture.m_listings, upkeep_time, fixture.m_now);
+    fixture.m_wave.m_machines[machine_id("m0")].m_order_accepted = true;
+    CHECK_FALSE(is_complete(fixture.m_wave));
+    CHECK(fixture.m_wave.m_machines[listing.m_machine].m_phase == upkeep_phase::waiting);
+}
+
 // Guards against exceeding the wave's limit after a change of controller: a new controller that
 // counts only its own orders takes down one machine too many.
 TEST_CASE("machines that a former holder may have ordered count as away", "[upkeep]")
