Do not take long runs for stalled ones

A run whose reported percent did not change for 1.6 s was stopped and started again. A run that is expected to take more than 160 s reports the same whole percent for longer: it would never have ended. The limit is now at least three hundredths of the expected time.

Test: "a long run that progresses by less than a percent in seconds goes on", fails without it.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -18,6 +18,10 @@
 /// A long-running task that is not available within this time is restarted elsewhere.
 constexpr milliseconds long_running_stall_timeout{5000};
 
+/// A run's progress is reported in whole percents, so that a long run shows none for a while. It is
+/// not stalled before this share of its expected time has passed.
+constexpr double stalled_share_of_estimate = 0.03;
+
 /// Interval of checks that look at every run of every worker: leases, stalled runs, long-running
 /// tasks that have to leave their worker, and paces.
 constexpr milliseconds worker_review_interval{20};
@@ -203,6 +207,17 @@
     }
 }
 
+/// Time without progress after which a run is considered stalled.
+milliseconds stall_limit(const run_slot& slot)
+{
+    if (slot.m_long_running) {
+        return long_running_stall_timeout;
+    }
+    const milliseconds by_estimate(static_cast<std::int64_t>(
+        stalled_share_of_estimate * static_cast<double>(slot.m_estimate.count())));
+    return std::max(stall_timeout, by_estimate);
+}
+
 /// Ends the runs of a worker whose lease has certainly expired, even on its slowest possible
 /// clock, stops stalled runs, and queues stop orders that are due.
 void check_worker(shard& state, const worker_id& id, worker_record& worker, time_point now)
@@ -213,11 +228,9 @@
         end_incarnation(state, worker, now, true);
     }
     for (auto& [key, slot] : worker.m_runs) {
-        const bool stalled =
-            slot.m_phase == run_phase::running && slot.m_percent < 100 &&
-            now - slot.m_progress_at >
-                (slot.m_long_running ? long_running_stall_timeout : stall_timeout) &&
-            now - worker.m_last_heard_at < max_report_age && slot.m_pace == 100;
+        const bool stalled = slot.m_phase == run_phase::running && slot.m_percent < 100 &&
+                             now - slot.m_progress_at > stall_limit(slot) &&
+                             now - worker.m_last_heard_at < max_report_age && slot.m_pace == 100;
         if (stalled) {
             state.m_log_lines.push_back("run stands still: task=" + to_string(slot.m_task) +
                                         " worker=" + id.str());
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -445,6 +445,21 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against long runs that are stopped and started again without end: a run of many minutes
+// reports the same whole percent for longer than a run that stands still is given.
+TEST_CASE("a long run that progresses by less than a percent in seconds goes on", "[schedule]")
+{
+    virtual_pool pool(4, worker_size, 15);
+    pool.run_for(milliseconds(200));
+    pool.submit("a", make_submission({2}, small_task, seconds(600)));
+    pool.run_for(seconds(30));
+    CHECK(pool.m_starts.size() == 2);
+    for (const auto& [task, starts] : pool.m_starts) {
+        CHECK(starts == 1);
+    }
+    CHECK(pool.state("a") == submission_state::running);
+}
+
 TEST_CASE("the checker detects rule violations", "[schedule]")
 {
     virtual_pool pool(1, worker_size, 14);
