Keep the machine controller running, maintain machines that stand by, and recheck its permission

Four faults of the controller of machines.

A conditional expression inside the arguments of an awaited call made a temporary that the compiler destroyed wrongly; it came with the reading of all pages of the progress of waves. The read is a function of its own now, without such an expression, like the other readers of pages; no other awaited call has one.

A round that was answered by owners on the controller's own host, or by none, waited for ever: the last answer came before the wait began.

Machines that stand by are off, so that no worker reports for them and they never counted as drained. They count as drained now.

An order for a machine was sent on a permission checked when it was decided. A call can now carry a check that is made when its connection is open, right before it is sent; orders for machines use it.

--- a/src/dispatch/machine_controller.cpp
+++ b/src/dispatch/machine_controller.cpp
@@ -85,6 +85,12 @@
     }
 }
 
+/// Number of the wave to which a record belongs.
+std::int64_t wave_number(const store_item& item, std::string_view prefix)
+{
+    return std::atoll(item.m_key.substr(prefix.size()).c_str());
+}
+
 /// Converts names to machine ids.
 std::set<machine_id> to_ids(const std::vector<std::string>& names)
 {
@@ -120,41 +126,54 @@
 
 asio::awaitable<bool> machine_controller::read_progress()
 {
-    for (const std::string& prefix :
-         {std::string(progress_prefix), platform::wave_status_prefix()}) {
-        std::vector<store_item> items;
-        bool more = true;
-        while (more) {
-            const http_answer answer = co_await m_dependencies.m_store->call(
-                platform::encode_range(prefix, items.empty() ? "" : items.back().m_key, false),
-                call_timeout);
-            range_result page = platform::decode_range(answer);
-            if (!page.m_ok) {
-                co_return false;
-            }
-            more = page.m_more && !page.m_items.empty();
-            std::move(page.m_items.begin(), page.m_items.end(), std::back_inserter(items));
+    const std::string status_prefix = platform::wave_status_prefix();
+    std::vector<store_item> written;
+    std::vector<store_item> statuses;
+    if (!co_await read_records(std::string(progress_prefix), written) ||
+        !co_await read_records(status_prefix, statuses)) {
+        co_return false;
+    }
+    for (const store_item& item : written) {
+        const std::int64_t number = wave_number(item, progress_prefix);
+        if (const auto progress = decode_progress(item.m_value)) {
+            m_recorded_begun[number] = to_ids(progress->m_begun);
+            m_recorded_intents[number] = to_ids(progress->m_intended);
         }
-        for (const store_item& item : items) {
-            const std::int64_t number = std::atoll(item.m_key.substr(prefix.size()).c_str());
-            if (prefix == progress_prefix) {
-                if (const auto written = decode_progress(item.m_value)) {
-                    m_recorded_begun[number] = to_ids(written->m_begun);
-                    m_recorded_intents[number] = to_ids(written->m_intended);
-                }
-                else {
-                    log_error("machines: " + item.m_key + ": " + last_reason());
-                }
-            }
-            else if (platform::decode_wave_succeeded(item.m_value)) {
-                m_succeeded.insert(number);
-            }
+        else {
+            log_error("machines: " + item.m_key + ": " + last_reason());
+        }
+    }
+    for (const store_item& item : statuses) {
+        if (platform::decode_wave_succeeded(item.m_value)) {
+            m_succeeded.insert(wave_number(item, status_prefix));
         }
     }
     m_progress_loaded = true;
     co_return true;
 }
 
+asio::awaitable<bool> machine_controller::read_records(std::string prefix,
+                                                       std::vector<store_item>& items)
+{
+    std::string after;
+    bool more = true;
+    while (more) {
+        http_call call = platform::encode_range(prefix, after, false);
+        const http_answer answer =
+            co_await m_dependencies.m_store->call(std::move(call), call_timeout);
+        range_result page = platform::decode_range(answer);
+        if (!page.m_ok) {
+            co_return false;
+        }
+        more = page.m_more && !page.m_items.empty();
+        for (store_item& item : page.m_items) {
+            after = item.m_key;
+            items.push_back(std::move(item));
+        }
+    }
+    co_return true;
+}
+
 asio::awaitable<bool> machine_controller::read_machines()
 {
     std::vector<machine_listing> listings;
@@ -228,14 +247,22 @@
     co_return result.m_outcome == commit_outcome::done;
 }
 
-asio::awaitable<void> machine_controller::send_upkeep_order(std::int64_t wave, machine_id machine)
+asio::awaitable<http_answer> machine_controller::send_order(http_call order)
 {
+    // The process may have been suspended since the order was decided. Another host may control the
+    // machines by then.
+    order.m_may_send = [this] { return !m_stopped && is_lease_valid(); };
     ++m_orders_in_flight;
     const http_answer answer = co_await m_dependencies.m_client->call(
-        *m_dependencies.m_settings->m_machines_address,
-        platform::encode_upkeep(machine, wave, m_dependencies.m_settings->m_host, m_token),
-        order_timeout);
+        *m_dependencies.m_settings->m_machines_address, std::move(order), order_timeout);
     --m_orders_in_flight;
+    co_return answer;
+}
+
+asio::awaitable<void> machine_controller::send_upkeep_order(std::int64_t wave, machine_id machine)
+{
+    const http_answer answer = co_await send_order(
+        platform::encode_upkeep(machine, wave, m_dependencies.m_settings->m_host, m_token));
     const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
     log_info("machines: maintenance ordered machine=" + machine.str() + " wave=" +
              std::to_string(wave) + " outcome=" + std::to_string(static_cast<int>(outcome)));
@@ -280,13 +307,8 @@
         co_return;
     }
     const service_id target_pool = found->second.m_to;
-    ++m_orders_in_flight;
-    const http_answer answer = co_await m_dependencies.m_client->call(
-        *m_dependencies.m_settings->m_machines_address,
-        platform::encode_pool_move(machine, target_pool, m_dependencies.m_settings->m_host,
-                                   m_token),
-        order_timeout);
-    --m_orders_in_flight;
+    const http_answer answer = co_await send_order(platform::encode_pool_move(
+        machine, target_pool, m_dependencies.m_settings->m_host, m_token));
     const platform::machine_outcome outcome = platform::decode_machine_answer(answer);
     log_info("machines: moved machine=" + machine.str() + " to=" + target_pool.str() +
              " outcome=" + std::to_string(static_cast<int>(outcome)));
@@ -368,8 +390,18 @@
                   return self->request_cordon(round, std::move(what));
               });
     }
-    error_code ignored;
-    co_await round->m_all_answered.async_wait(to_coroutine(ignored));
+    // Requests to owners on this host have been answered already.
+    if (round->m_open > 0) {
+        error_code ignored;
+        co_await round->m_all_answered.async_wait(to_coroutine(ignored));
+    }
+    // Machines that stand by are off, so that no worker reports for them.
+    const std::set<service_id> standby = standby_pools();
+    for (const machine_listing& listing : m_listings) {
+        if (standby.contains(listing.m_pool)) {
+            m_drained_machines.insert(listing.m_machine);
+        }
+    }
 }
 
 asio::awaitable<void> machine_controller::request_cordon(std::shared_ptr<cordon_round> round,
@@ -511,7 +543,7 @@
     }
 }
 
-void machine_controller::advance_moves()
+std::set<service_id> machine_controller::standby_pools() const
 {
     std::set<service_id> standby;
     if (const operator_config* config = m_dependencies.m_config()) {
@@ -521,6 +553,12 @@
             }
         }
     }
+    return standby;
+}
+
+void machine_controller::advance_moves()
+{
+    const std::set<service_id> standby = standby_pools();
     std::set<machine_id> in_wave;
     for (const auto& [number, wave] : m_waves) {
         for (const auto& [machine, entry] : wave.m_machines) {
@@ -534,7 +572,7 @@
     choose_moves(m_moves, m_listings, m_loads, standby, in_wave, now);
     std::vector<machine_id> orders;
     for (const auto& [machine, pending] : m_moves.m_moves) {
-        const bool clear = m_drained_machines.contains(machine) || standby.contains(pending.m_from);
+        const bool clear = m_drained_machines.contains(machine);
         if ((pending.m_phase == move_phase::draining && clear) ||
             (pending.m_phase == move_phase::ordered && pending.m_next_order_at <= now)) {
             orders.push_back(machine);
--- a/src/dispatch/machine_controller.h
+++ b/src/dispatch/machine_controller.h
@@ -54,6 +54,8 @@
     asio::awaitable<void> run();
     /// Reads the progress that earlier controllers stored; false if the store did not answer.
     asio::awaitable<bool> read_progress();
+    /// Reads all records under a prefix; false if the store did not answer.
+    asio::awaitable<bool> read_records(std::string prefix, std::vector<store_item>& items);
     /// Reads the platform's list of machines; false, with the old list kept, if a page is missing.
     asio::awaitable<bool> read_machines();
     /// Tells each pool which machines to drain and collects drained machines and loads.
@@ -79,6 +81,9 @@
     void advance_moves();
     /// Logs, once per machine, that a machine takes long to drain.
     void log_delays(upkeep_progress& wave);
+    /// Sends an order to the platform, unless this host may no longer control the machines when
+    /// the connection is open.
+    asio::awaitable<http_answer> send_order(http_call order);
     /// Orders the platform to move a machine and applies the outcome.
     asio::awaitable<void> send_move_order(machine_id machine);
     /// Orders the platform to take a machine down for maintenance and applies the outcome.
@@ -90,6 +95,8 @@
     asio::awaitable<bool> write_progress(const upkeep_progress& wave);
     /// True while no other host can run the controller.
     [[nodiscard]] bool is_lease_valid() const;
+    /// Pools whose machines are off until they are moved.
+    [[nodiscard]] std::set<service_id> standby_pools() const;
     /// Adds waves that the operator requested since the last round.
     void load_new_waves();
 
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,9 @@
     std::string m_target;
     std::vector<std::pair<std::string, std::string>> m_headers;
     std::string m_body;
+    /// Checked when the connection is open, right before the call is sent; nothing is sent if it
+    /// returns false. Empty for a call that is always sent.
+    std::function<bool()> m_may_send = nullptr;
 };
 
 /// How far a call came.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -75,6 +75,10 @@
         stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
         stream->socket().non_blocking(true, error);
     }
+    if (what.m_may_send && !what.m_may_send()) {
+        answer.m_progress = call_progress::not_sent;
+        co_return answer;
+    }
     const auto request = make_request(std::move(what), address);
     http::request_serializer<http::string_body> serializer(request);
     while (!serializer.is_done()) {
