Leave pools half of their machines for their next peak, and return machines to them first

The queue in its turn asked for up to 695 machines where its arrivals need 365, and stripped the other pools to 40 to 55 of their 195 to 266. When its turn ended its machines went to the standby pool, and from there to the pool whose turn had begun: two moves.

Work that can be on time asks for the machines that finish it by its objective, not within the length of its chain. A pool keeps half of its first size for its own next peak, unless the receiver lacks more than a third of its need. Surplus machines return first to the pools that are smaller than at first, after 1 s, and to the standby pool after 2 s as before.

What is left of the too high needs comes from the forecast of growth, which is noisy for queues of few large submissions (term-remap asked for 666 machines once).

--- a/src/fleet/pool_moves.cpp
+++ b/src/fleet/pool_moves.cpp
@@ -20,6 +20,10 @@
 /// shorter gap between two peaks costs less than two moves.
 constexpr milliseconds surplus_hold_time{2000};
 
+/// The same for machines that return to a pool which is smaller than at first. They may be needed
+/// there next, and a move by way of the standby pool takes twice as long.
+constexpr milliseconds home_hold_time{1000};
+
 /// At most one machine in this many starts a move in one round, so that a wrong forecast costs
 /// little. Small fleets may still start `min_move_limit` moves.
 constexpr std::size_t move_limit_divisor = 3;
@@ -28,9 +32,16 @@
 /// Machines that a donor keeps beyond what it needs.
 constexpr double donor_reserve = 0.5;
 
+/// A donor keeps this share of its first size for the beginning of its own next peak, unless the
+/// receiver lacks more than the second share of its need.
+constexpr double kept_share = 0.5;
+constexpr double severe_shortage = 1.0 / 3;
+
 /// Machines that one pool has, needs and can give away.
 struct pool_balance {
     std::size_t m_machine_count = 0; ///< Machines that are up, and those moving to the pool.
+    std::size_t m_assigned = 0;      ///< All of its machines, and those moving to the pool.
+    std::size_t m_first_size = 0;    ///< Its machines when the controller began.
     double m_needed_machines = 0;
     bool m_load_known = false;
     bool m_standby = false;
@@ -45,13 +56,20 @@
                                                        const std::set<machine_id>& in_wave)
 {
     std::map<service_id, pool_balance> pools;
+    // A pool that has lent all of its machines is not in the list.
+    for (const auto& [name, first_size] : state.m_initial_sizes) {
+        pools[name].m_first_size = first_size;
+    }
+    for (const service_id& name : standby_pools) {
+        pools[name].m_standby = true;
+    }
     for (const machine_listing& listing : listings) {
         pool_balance& pool = pools[listing.m_pool];
-        pool.m_standby = standby_pools.contains(listing.m_pool);
         const auto moving = state.m_moves.find(listing.m_machine);
         if (moving != state.m_moves.end()) {
             continue;
         }
+        ++pool.m_assigned;
         if (listing.m_state != machine_state::up || in_wave.contains(listing.m_machine)) {
             continue;
         }
@@ -69,6 +87,7 @@
     }
     for (const auto& [machine, move] : state.m_moves) {
         ++pools[move.m_to].m_machine_count;
+        ++pools[move.m_to].m_assigned;
     }
     for (auto& [name, pool] : pools) {
         const auto load = loads.find(name);
@@ -88,7 +107,9 @@
     const machine_id machine = donor.m_movable.front().second;
     donor.m_movable.erase(donor.m_movable.begin());
     --donor.m_machine_count;
+    --donor.m_assigned;
     ++pools[to].m_machine_count;
+    ++pools[to].m_assigned;
     pending_move move;
     move.m_from = from;
     move.m_to = to;
@@ -97,9 +118,10 @@
 }
 
 /// Returns the pool that gives a machine to the receiver: a standby pool, else the one with the
-/// largest surplus; nothing when no pool can.
+/// largest surplus; nothing when no pool can. In a severe shortage pools also give what they keep
+/// for their next peaks.
 std::optional<service_id> choose_donor(const std::map<service_id, pool_balance>& pools,
-                                       const service_id& receiver)
+                                       const service_id& receiver, bool is_severe)
 {
     std::optional<service_id> best;
     double best_surplus = 0;
@@ -110,8 +132,10 @@
         if (pool.m_standby) {
             return name;
         }
+        const double kept =
+            is_severe ? 0 : std::ceil(kept_share * static_cast<double>(pool.m_first_size));
         const double surplus = static_cast<double>(pool.m_machine_count) -
-                               std::ceil(pool.m_needed_machines + donor_reserve);
+                               std::max(kept, std::ceil(pool.m_needed_machines + donor_reserve));
         if (pool.m_load_known && surplus >= 1 && surplus > best_surplus &&
             pool.m_movable.front().first <= max_drain_time) {
             best = name;
@@ -121,6 +145,27 @@
     return best;
 }
 
+/// Returns the pool that gets a surplus machine of another one: the one that is smallest relative
+/// to its first size, else a standby pool; nothing when there is neither.
+std::optional<service_id> choose_return(const std::map<service_id, pool_balance>& pools)
+{
+    std::optional<service_id> best;
+    double best_share = 1;
+    for (const auto& [name, pool] : pools) {
+        if (pool.m_standby) {
+            best = best ? best : name;
+            continue;
+        }
+        const double share = static_cast<double>(pool.m_assigned) /
+                             std::max(1.0, static_cast<double>(pool.m_first_size));
+        if (pool.m_first_size > 0 && share < best_share) {
+            best = name;
+            best_share = share;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 void update_moves(move_state& state, const std::vector<machine_listing>& listings, time_point now)
@@ -174,7 +219,8 @@
             }
         }
         const std::optional<service_id> donor =
-            receiver ? choose_donor(pools, *receiver) : std::nullopt;
+            receiver ? choose_donor(pools, *receiver, largest_shortage > severe_shortage)
+                     : std::nullopt;
         if (!donor) {
             break;
         }
@@ -182,20 +228,24 @@
         ++started;
     }
     for (auto& [name, pool] : pools) {
-        const std::size_t initial_size = state.m_initial_sizes[name];
-        const bool surplus =
-            !pool.m_standby && pool.m_load_known && pool.m_machine_count > initial_size &&
-            static_cast<double>(pool.m_machine_count) > std::ceil(pool.m_needed_machines) + 1;
-        if (!surplus || standby_pools.empty()) {
+        const auto has_surplus = [&donor = pool] {
+            return donor.m_machine_count > donor.m_first_size &&
+                   static_cast<double>(donor.m_machine_count) >
+                       std::ceil(donor.m_needed_machines) + 1;
+        };
+        if (pool.m_standby || !pool.m_load_known || !has_surplus()) {
             state.m_surplus_since.erase(name);
             continue;
         }
         const time_point since = state.m_surplus_since.try_emplace(name, now).first->second;
-        while (now - since > surplus_hold_time && started < move_limit &&
-               pool.m_machine_count > initial_size &&
-               static_cast<double>(pool.m_machine_count) > std::ceil(pool.m_needed_machines) + 1 &&
-               !pool.m_movable.empty() && pool.m_movable.front().first == milliseconds(0)) {
-            start_move(state, pools, name, *standby_pools.begin(), now);
+        while (started < move_limit && has_surplus() && !pool.m_movable.empty() &&
+               pool.m_movable.front().first == milliseconds(0)) {
+            const std::optional<service_id> target = choose_return(pools);
+            if (!target ||
+                now - since <= (pools[*target].m_standby ? surplus_hold_time : home_hold_time)) {
+                break;
+            }
+            start_move(state, pools, name, *target, now);
             ++started;
         }
     }
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -21,8 +21,8 @@
 /// Factor over the recent arrival rate that covers uneven arrivals.
 constexpr double arrival_headroom = 1.3;
 
-/// The backlog should be finished within the length of its critical path, but not in less than this
-/// time, in which a machine that is moved now joins.
+/// A submission is not expected to be finished in less than this time, in which a machine that is
+/// moved now joins.
 constexpr double min_backlog_time_ms = 1200;
 
 /// The same for work whose hard deadline is over.
@@ -75,8 +75,9 @@
     return sum / static_cast<double>(state.m_workers.size()) * state.m_incoming_machines;
 }
 
-/// Time in which the remaining work of a submission should be done. Work that is late in any case
-/// does not keep machines from pools whose work can still be on time.
+/// Time in which the remaining work of a submission should be done: by its objective. Asking for it
+/// sooner would take machines from pools that need them next. Work that is late in any case does
+/// not keep machines from pools whose work can still be on time.
 double time_for_backlog_ms(const submission_record& record, time_point now)
 {
     const double shortest =
@@ -86,8 +87,9 @@
         return std::max(shortest, to_milliseconds(record.m_hard_deadline - now));
     case submission_tier::hopeless:
         return std::max(shortest, hopeless_backlog_time_ms);
-    case submission_tier::long_running:
     case submission_tier::on_time:
+        return std::max(shortest, to_milliseconds(record.m_objective - now));
+    case submission_tier::long_running:
         break;
     }
     return shortest;
