Return machines after two seconds, and keep none back for the next peak

On this deployment a queue's need often falls for more than a second within its turn, and a machine that has left takes 3 s to come back.

Machines return after 2 s wherever they go, as they did.

--- a/src/fleet/pool_moves.cpp
+++ b/src/fleet/pool_moves.cpp
@@ -16,14 +16,10 @@
 /// up. A move without an answer is given up this long after its start.
 constexpr seconds move_timeout{8};
 
-/// A pool returns machines to the standby pool after a surplus of this length. Idling through a
+/// A pool returns machines after a surplus of this length. Idling through a
 /// shorter gap between two peaks costs less than two moves.
 constexpr milliseconds surplus_hold_time{2000};
 
-/// The same for machines that return to a pool which is smaller than at first. They may be needed
-/// there next, and a move by way of the standby pool takes twice as long.
-constexpr milliseconds home_hold_time{1000};
-
 /// At most one machine in this many starts a move in one round, so that a wrong forecast costs
 /// little. Small fleets may still start `min_move_limit` moves.
 constexpr std::size_t move_limit_divisor = 3;
@@ -32,11 +28,6 @@
 /// Machines that a donor keeps beyond what it needs.
 constexpr double donor_reserve = 0.5;
 
-/// A donor keeps this share of its first size for the beginning of its own next peak, unless the
-/// receiver lacks more than the second share of its need.
-constexpr double kept_share = 0.5;
-constexpr double severe_shortage = 1.0 / 3;
-
 /// Machines that one pool has, needs and can give away.
 struct pool_balance {
     std::size_t m_machine_count = 0; ///< Machines that are up, and those moving to the pool.
@@ -118,10 +109,9 @@
 }
 
 /// Returns the pool that gives a machine to the receiver: a standby pool, else the one with the
-/// largest surplus; nothing when no pool can. In a severe shortage pools also give what they keep
-/// for their next peaks.
+/// largest surplus; nothing when no pool can.
 std::optional<service_id> choose_donor(const std::map<service_id, pool_balance>& pools,
-                                       const service_id& receiver, bool is_severe)
+                                       const service_id& receiver)
 {
     std::optional<service_id> best;
     double best_surplus = 0;
@@ -132,10 +122,8 @@
         if (pool.m_standby) {
             return name;
         }
-        const double kept =
-            is_severe ? 0 : std::ceil(kept_share * static_cast<double>(pool.m_first_size));
         const double surplus = static_cast<double>(pool.m_machine_count) -
-                               std::max(kept, std::ceil(pool.m_needed_machines + donor_reserve));
+                               std::ceil(pool.m_needed_machines + donor_reserve);
         if (pool.m_load_known && surplus >= 1 && surplus > best_surplus &&
             pool.m_movable.front().first <= max_drain_time) {
             best = name;
@@ -219,8 +207,7 @@
             }
         }
         const std::optional<service_id> donor =
-            receiver ? choose_donor(pools, *receiver, largest_shortage > severe_shortage)
-                     : std::nullopt;
+            receiver ? choose_donor(pools, *receiver) : std::nullopt;
         if (!donor) {
             break;
         }
@@ -238,11 +225,10 @@
             continue;
         }
         const time_point since = state.m_surplus_since.try_emplace(name, now).first->second;
-        while (started < move_limit && has_surplus() && !pool.m_movable.empty() &&
-               pool.m_movable.front().first == milliseconds(0)) {
+        while (now - since > surplus_hold_time && started < move_limit && has_surplus() &&
+               !pool.m_movable.empty() && pool.m_movable.front().first == milliseconds(0)) {
             const std::optional<service_id> target = choose_return(pools);
-            if (!target ||
-                now - since <= (pools[*target].m_standby ? surplus_hold_time : home_hold_time)) {
+            if (!target) {
                 break;
             }
             start_move(state, pools, name, *target, now);
