--- a/src/dispatch/ownership.cpp
+++ b/src/dispatch/ownership.cpp
@@ -52,6 +52,7 @@
     }
     std::sort(keyed.begin(), keyed.end());
     std::vector<host_id> candidates;
+    candidates.reserve(keyed.size());
     for (const auto& [load, hash, host] : keyed) {
         candidates.push_back(host);
     }
--- a/tests/dispatch/machine_controller_test.cpp
+++ b/tests/dispatch/machine_controller_test.cpp
@@ -212,7 +212,7 @@
 
 // Guards against waves that are never finished: no worker reports for a machine that is off, so
 // that machines of the standby pool never counted as drained.
-TEST_CASE("machines that stand by are maintained without the word of an owner",
+TEST_CASE("machines that stand by are maintained without a report of an owner",
           "[machine_controller]")
 {
     controlled_fleet fleet;
--- a/tests/dispatch/store_outage_test.cpp
+++ b/tests/dispatch/store_outage_test.cpp
@@ -84,7 +84,7 @@
     CHECK_FALSE(is_store_unreachable_for_majority(owner, hosts, start + lease_time));
 }
 
-// Guards against an owner that goes on beyond its lease on the word of hosts that it has just
+// Guards against an owner that goes on beyond its lease because of hosts that it has just
 // learned of and never heard from.
 TEST_CASE("peers that were never heard from do not tell that the store is away", "[store_outage]")
 {
