--- a/tests/schedule/large_pool_test.cpp
+++ b/tests/schedule/large_pool_test.cpp
@@ -28,13 +28,15 @@
 {
     virtual_pool pool(worker_count, worker_size, 1);
     pool.run_for(milliseconds(200));
-    constexpr int submissions = 150;
-    for (int i = 0; i < submissions; ++i) {
-        pool.submit("a" + std::to_string(i), make_submission({8}, task_size, milliseconds(60000)));
+    constexpr std::uint64_t submissions = 150;
+    constexpr int tasks_per_submission = 8;
+    for (std::uint64_t i = 0; i < submissions; ++i) {
+        pool.submit("a" + std::to_string(i),
+                    make_submission({tasks_per_submission}, task_size, milliseconds(60000)));
     }
     pool.run_for(milliseconds(300));
     shard& state = pool.current_owner().m_shard;
-    REQUIRE(state.m_starts == submissions * 8);
+    REQUIRE(state.m_starts == submissions * tasks_per_submission);
     const std::uint64_t before = state.m_tasks_examined;
     for (int round = 0; round < 100; ++round) {
         plan(state, pool.now(), wall_at(pool.now()));
