Follow the changes of the workers' list, and shorten greetings

Machines that were moved to a pool idled until its owner had read them, and a new owner had no workers until its first reading. Greetings carried the addresses of all hosts 16 times a second, and a host that knew fewer took over all of them, so that two hosts could remind each other of a departed one for ever.

Change: worker_directory reads the list once and then waits for its changes while the host owns a shard; changes within 50 ms share a call. Owners apply single entries (update_worker, unlist_worker). prefix_watch can be paused. Greetings name at most 16 hosts that were heard from within 10 s.

Weighed: one reader that shares the list with the other owners; it needs a protocol and a hand-over for what the store's watch does already.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -28,15 +28,16 @@
 constexpr milliseconds owner_retry_interval{100};
 constexpr milliseconds owner_retry_limit{450};
 
-/// Pause between reads of the worker list. It grows with the length of the list.
-constexpr milliseconds worker_list_interval{300};
-constexpr microseconds worker_list_interval_per_worker{1500};
-constexpr milliseconds worker_list_timeout{1200};
+/// Interval at which owners that are new get the whole worker list.
+constexpr milliseconds worker_supply_interval{100};
 
 /// Interval of greetings to peers, and the limit of peers that are greeted in one round.
 constexpr milliseconds greeting_interval{500};
 constexpr std::size_t max_greetings_per_round = 8;
 
+/// Limit of addresses of other hosts in one greeting.
+constexpr std::size_t max_announced_peers = 16;
+
 /// Interval of rounds in which an owner that the store does not answer asks its peers whether the
 /// store answers them, and the time limit of a reply.
 constexpr milliseconds store_question_interval{200};
@@ -113,6 +114,12 @@
           context, m_store, m_self, m_settings.m_min_store_lease,
           {[this](const service_id& shard, revision token) { on_shard_gained(shard, token); },
            [this](const service_id& shard) { on_shard_lost(shard); }}),
+      m_worker_directory(context, m_store,
+                         [this](const worker_list_changes& changes) {
+                             for (const auto& [shard, owner] : m_owners) {
+                                 owner->apply_worker_changes(changes);
+                             }
+                         }),
       m_caller_server(
           context, m_settings.m_caller_address,
           [this](caller_request request) { return handle_caller_request(std::move(request)); }),
@@ -144,7 +151,8 @@
     }
     m_operator_records.start();
     m_registry.start();
-    spawn_loop(m_context, "the reading of the worker list", [this] { return poll_worker_list(); });
+    m_worker_directory.start();
+    spawn_loop(m_context, "the supply of workers", [this] { return supply_workers(); });
     spawn_loop(m_context, "the greeting of peers", [this] { return send_greetings(); });
     spawn_loop(m_context, "the questions about the store",
                [this] { return ask_about_store_loop(); });
@@ -273,9 +281,8 @@
         own_greeting.m_config =
             m_operator_records.items().at(std::string(platform::config_key)).m_value;
     }
-    for (const auto& [address, view] : m_peer_table.m_peers) {
-        own_greeting.m_peers.push_back(address);
-    }
+    own_greeting.m_peers = select_peers_to_announce(m_peer_table, max_announced_peers,
+                                                    m_greeting_round, read_boot_clock());
     return own_greeting;
 }
 
@@ -290,10 +297,8 @@
     found->second.m_last_heard_at = now;
     found->second.m_store_answers = received.m_store_answers;
     found->second.m_config_revision = received.m_config_revision;
-    if (m_peer_table.m_peers.size() < received.m_peers.size()) {
-        for (const std::string& address : received.m_peers) {
-            add_peer(m_peer_table, address, now);
-        }
+    for (const std::string& address : received.m_peers) {
+        add_peer(m_peer_table, address, now);
     }
     if (!received.m_config.empty()) {
         const bool is_newer = received.m_config_revision > config_revision();
@@ -344,7 +349,6 @@
 asio::awaitable<void> dispatcher::send_greetings()
 {
     asio::steady_timer timer(m_context);
-    std::uint64_t round = 0;
     while (true) {
         const time_point now = read_boot_clock();
         std::vector<std::string> members;
@@ -354,10 +358,11 @@
         }
         remove_stale_peers(m_peer_table, members, now);
         const greeting own_greeting = make_greeting(false);
-        for (const std::string& peer : select_peers(m_peer_table, max_greetings_per_round, round)) {
+        for (const std::string& peer :
+             select_peers(m_peer_table, max_greetings_per_round, m_greeting_round)) {
             m_peer_link.send(peer, own_greeting);
         }
-        ++round;
+        ++m_greeting_round;
         fetch_config_if_due();
         timer.expires_after(greeting_interval);
         error_code ignored;
@@ -392,42 +397,20 @@
     }
 }
 
-asio::awaitable<void> dispatcher::poll_worker_list()
+asio::awaitable<void> dispatcher::supply_workers()
 {
     asio::steady_timer timer(m_context);
     while (true) {
-        if (!m_owners.empty()) {
-            std::vector<worker_listing> listings;
-            std::string after;
-            bool more = true;
-            bool ok = true;
-            while (more && ok) {
-                const http_answer answer = co_await m_store.call(
-                    platform::encode_range(std::string(platform::worker_prefix), after, false),
-                    worker_list_timeout);
-                const range_result page = platform::decode_range(answer);
-                ok = page.m_ok;
-                more = page.m_more && !page.m_items.empty();
-                for (const store_item& item : page.m_items) {
-                    after = item.m_key;
-                    std::optional<worker_listing> listing = platform::decode_listing(item);
-                    if (listing) {
-                        listings.push_back(std::move(*listing));
-                    }
-                    else {
-                        log_warning("workers: " + last_reason());
-                    }
-                }
+        m_worker_directory.set_needed(!m_owners.empty());
+        for (const auto& [shard, owner] : std::map(m_owners)) {
+            if (owner->has_workers()) {
+                owner->remove_departed_workers();
             }
-            if (ok) {
-                m_worker_count = static_cast<std::int64_t>(listings.size());
-                for (const auto& [shard, owner] : std::map(m_owners)) {
-                    owner->set_workers(listings);
-                }
+            else if (m_worker_directory.is_loaded()) {
+                owner->set_workers(m_worker_directory.listings());
             }
         }
-        timer.expires_after(std::max<microseconds>(
-            worker_list_interval, m_worker_count * worker_list_interval_per_worker));
+        timer.expires_after(worker_supply_interval);
         error_code ignored;
         co_await timer.async_wait(to_coroutine(ignored));
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "dispatch/registry.h"
 #include "dispatch/shard_owner.h"
 #include "dispatch/worker_client.h"
+#include "dispatch/worker_directory.h"
 
 namespace guavabay {
 
@@ -61,7 +62,8 @@
     asio::awaitable<caller_answer> handle_readiness_request(caller_request request);
     /// Asks the owner of a service to keep machines free; empty if it cannot be reached.
     asio::awaitable<std::optional<cordon_reply>> request_cordon(cordon_request request);
-    asio::awaitable<void> poll_worker_list();
+    /// Follows the worker list while this host owns shards, and hands it to new owners.
+    asio::awaitable<void> supply_workers();
     asio::awaitable<void> send_greetings();
     /// Asks peers at intervals whether the store answers them, while it does not answer this host
     /// and this host owns shards.
@@ -96,6 +98,7 @@
     config_fetch m_config_fetch;
     prefix_watch m_operator_records; ///< Configuration and upkeep waves.
     registry m_registry;
+    worker_directory m_worker_directory;
     caller_server m_caller_server;
     caller_server m_readiness_server;
     std::unique_ptr<caller_server> m_metrics_server; ///< Null if no metrics address is set.
@@ -103,8 +106,8 @@
     std::optional<operator_config> m_config; ///< Empty until the first valid one was read.
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners; ///< Shards that this host owns.
     std::shared_ptr<machine_controller>
-        m_machine_controller;        ///< Null unless this host owns its shard.
-    std::int64_t m_worker_count = 0; ///< Entries in the last complete read of the worker list.
+        m_machine_controller; ///< Null unless this host owns its shard.
+    std::uint64_t m_greeting_round = 0;
     bool m_stopping = false;
 };
 
--- a/src/dispatch/peer_table.cpp
+++ b/src/dispatch/peer_table.cpp
@@ -15,6 +15,23 @@
 /// A peer that is not heard from for this long is removed.
 constexpr seconds peer_expiry{20};
 
+/// A peer that was heard from within this time is announced to others. It is shorter than the time
+/// to removal, so that hosts do not remind each other of one that has left.
+constexpr seconds announce_age{10};
+
+/// Reduces a list to at most max_count entries. Successive turns rotate through all of them.
+std::vector<std::string> take_turn(std::vector<std::string> all, std::size_t max_count,
+                                   std::uint64_t turn)
+{
+    if (all.size() > max_count) {
+        std::rotate(all.begin(),
+                    all.begin() + static_cast<std::ptrdiff_t>((turn * max_count) % all.size()),
+                    all.end());
+        all.resize(max_count);
+    }
+    return all;
+}
+
 } // namespace
 
 void add_peer(peer_table& table, const std::string& address, time_point now)
@@ -65,13 +82,19 @@
     for (const auto& [address, view] : table.m_peers) {
         all.push_back(address);
     }
-    if (all.size() > max_count) {
-        std::rotate(all.begin(),
-                    all.begin() + static_cast<std::ptrdiff_t>((turn * max_count) % all.size()),
-                    all.end());
-        all.resize(max_count);
+    return take_turn(std::move(all), max_count, turn);
+}
+
+std::vector<std::string> select_peers_to_announce(const peer_table& table, std::size_t max_count,
+                                                  std::uint64_t turn, time_point now)
+{
+    std::vector<std::string> heard;
+    for (const auto& [address, peer] : table.m_peers) {
+        if (peer.m_last_heard_at && now - *peer.m_last_heard_at < announce_age) {
+            heard.push_back(address);
+        }
     }
-    return all;
+    return take_turn(std::move(heard), max_count, turn);
 }
 
 bool is_recent(const peer_state& peer, time_point now)
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -46,6 +46,11 @@
 std::vector<std::string> select_peers(const peer_table& table, std::size_t max_count,
                                       std::uint64_t turn);
 
+/// Returns at most max_count peers to tell others about: those heard from in the last 10 s.
+/// Successive turns rotate through all of them.
+std::vector<std::string> select_peers_to_announce(const peer_table& table, std::size_t max_count,
+                                                  std::uint64_t turn, time_point now);
+
 /// True if the peer's last message is recent enough to rely on what it reported.
 bool is_recent(const peer_state& peer, time_point now);
 
--- a/src/dispatch/prefix_watch.cpp
+++ b/src/dispatch/prefix_watch.cpp
@@ -27,9 +27,9 @@
 } // namespace
 
 prefix_watch::prefix_watch(asio::io_context& context, store_client& store, std::string prefix,
-                           change_handler handler)
+                           change_handler handler, milliseconds min_interval)
     : m_context(context), m_store(store), m_prefix(std::move(prefix)),
-      m_handler(std::move(handler)), m_retry_timer(context)
+      m_handler(std::move(handler)), m_min_interval(min_interval), m_retry_timer(context)
 {
 }
 
@@ -44,6 +44,18 @@
     m_retry_timer.cancel();
 }
 
+void prefix_watch::pause()
+{
+    m_paused = true;
+    m_is_loaded = false;
+}
+
+void prefix_watch::resume()
+{
+    m_paused = false;
+    m_retry_timer.cancel();
+}
+
 void prefix_watch::apply_if_newer(store_item item)
 {
     const auto found = m_items.find(item.m_key);
@@ -67,11 +79,17 @@
     retry_backoff backoff;
     bool load_next = true;
     read_outcome outcome = read_outcome::failed;
+    error_code ignored;
     while (true) {
+        if (m_paused) {
+            m_retry_timer.expires_at(asio::steady_timer::time_point::max());
+            co_await m_retry_timer.async_wait(to_coroutine(ignored));
+            continue;
+        }
         m_refresh_requested = false;
         m_received_bytes = 0;
         const time_point started_at = read_boot_clock();
-        const bool is_load = load_next;
+        const bool is_load = load_next || !m_is_loaded;
         if (is_load) {
             outcome = co_await load_all(outcome == read_outcome::behind);
         }
@@ -81,6 +99,11 @@
         load_next = outcome != read_outcome::current || (!is_load && m_refresh_requested);
         if (outcome != read_outcome::failed) {
             backoff.reset();
+            const duration rest = started_at + m_min_interval - read_boot_clock();
+            if (!m_paused && rest > duration(0)) {
+                m_retry_timer.expires_after(std::chrono::ceil<milliseconds>(rest));
+                co_await m_retry_timer.async_wait(to_coroutine(ignored));
+            }
             continue;
         }
         const duration taken = read_boot_clock() - started_at;
@@ -89,7 +112,6 @@
                  std::to_string(std::chrono::duration_cast<milliseconds>(taken).count()) +
                  " received_bytes=" + std::to_string(m_received_bytes));
         m_retry_timer.expires_after(backoff.next());
-        error_code ignored;
         co_await m_retry_timer.async_wait(to_coroutine(ignored));
     }
 }
@@ -142,7 +164,7 @@
         }
     }
     m_as_of = as_of;
-    m_is_loaded = true;
+    m_is_loaded = !m_paused;
     notify(changed);
     // Changes that came during the last transfer suggest that there were more during this one.
     const bool is_behind = was_behind && changed_bytes > max_superseded_bytes;
--- a/src/dispatch/prefix_watch.h
+++ b/src/dispatch/prefix_watch.h
@@ -19,12 +19,19 @@
     using change_handler = std::function<void(const std::vector<std::string>&)>;
 
     /// Creates a watch on a prefix; sends nothing before start. The store client must outlive it.
+    /// Changes that come within min_interval of each other are received together.
     prefix_watch(asio::io_context& context, store_client& store, std::string prefix,
-                 change_handler handler);
+                 change_handler handler, milliseconds min_interval = milliseconds(0));
 
     /// Starts to load the records and to follow changes; failed calls are retried without limit.
     void start();
 
+    /// Makes no further calls until resume(). The records count as not loaded meanwhile.
+    void pause();
+
+    /// Loads the records again and follows changes; does nothing unless paused.
+    void resume();
+
     /// Requests a full reload, because newer data is known to exist. It follows the long poll that
     /// is under way; a pause between retries ends at once. Has no effect during a full load.
     void refresh();
@@ -32,7 +39,7 @@
     /// All known records, by key.
     [[nodiscard]] const std::map<std::string, store_item>& items() const { return m_items; }
 
-    /// True once all records were loaded for the first time.
+    /// True once all records were loaded for the first time, or for the first time since a pause.
     [[nodiscard]] bool is_loaded() const { return m_is_loaded; }
 
     /// Boot-clock time at which the store last sent a part of a successful answer directly to this
@@ -61,11 +68,13 @@
     store_client& m_store;
     std::string m_prefix;
     change_handler m_handler;
+    milliseconds m_min_interval;
     std::map<std::string, store_item> m_items;
     revision m_as_of; ///< Store revision up to which changes are included.
     bool m_is_loaded = false;
     asio::steady_timer m_retry_timer;
     bool m_refresh_requested = false;
+    bool m_paused = false;
     time_point m_last_received_at{};
     std::size_t m_received_bytes = 0; ///< By the calls of the current attempt, for the log.
 };
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -178,11 +178,35 @@
     if (m_stopped || !m_shard.m_loaded) {
         return;
     }
+    m_has_workers = true;
     update_workers(m_shard, listings, read_boot_clock());
     start_worker_loops();
     schedule_plan();
 }
 
+void shard_owner::apply_worker_changes(const worker_list_changes& changes)
+{
+    if (m_stopped || !m_has_workers) {
+        return;
+    }
+    const time_point now = read_boot_clock();
+    for (const worker_listing& listing : changes.m_updated) {
+        update_worker(m_shard, listing, now);
+    }
+    for (const worker_id& id : changes.m_removed) {
+        unlist_worker(m_shard, id, now);
+    }
+    start_worker_loops();
+    schedule_plan();
+}
+
+void shard_owner::remove_departed_workers()
+{
+    if (!m_stopped) {
+        guavabay::remove_departed_workers(m_shard, read_boot_clock());
+    }
+}
+
 void shard_owner::start_worker_loops()
 {
     for (const auto& [id, worker] : m_shard.m_workers) {
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -10,6 +10,7 @@
 #include "dispatch/retry_backoff.h"
 #include "dispatch/store_client.h"
 #include "dispatch/worker_client.h"
+#include "dispatch/worker_directory.h"
 #include "peer/host_message.h"
 #include "schedule/advice.h"
 #include "schedule/shard.h"
@@ -55,9 +56,19 @@
     /// Sets the queues that the operator configured.
     void set_queues(const std::vector<queue_contract>& queues);
 
-    /// Updates the workers from the platform's list; ignored until the log is loaded.
+    /// Sets the workers from a whole reading of the platform's list; ignored until the log is
+    /// loaded.
     void set_workers(const std::vector<worker_listing>& listings);
 
+    /// True once the workers were set. Changes of the list are taken from then on.
+    [[nodiscard]] bool has_workers() const { return m_has_workers; }
+
+    /// Applies changes of the platform's list; ignored until the workers were set.
+    void apply_worker_changes(const worker_list_changes& changes);
+
+    /// Forgets workers that left the list some time ago and cannot run anything any more.
+    void remove_departed_workers();
+
     /// Accepts a submission and waits until it is durable. Answers not_owner, refused or store_away
     /// if it was not accepted, unknown if its write has not ended in time.
     asio::awaitable<owner_reply> submit(queue_id queue, submission_id id, submission what);
@@ -146,6 +157,7 @@
     std::uint64_t m_next_log_number = 1; ///< Number of the next log record.
     bool m_stopped = false;
     bool m_releasing = false;
+    bool m_has_workers = false;  ///< The workers were set from the platform's list.
     bool m_plan_pending = false; ///< A planning round is requested.
     time_point m_last_plan_at{};
     duration m_last_plan_time{};        ///< How long the last round took.
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -106,7 +106,7 @@
     std::int64_t m_config_revision = 0;
     bool m_store_answers = false;
     std::string m_config;             ///< In full, only in the reply to a call.
-    std::vector<std::string> m_peers; ///< Addresses of other hosts.
+    std::vector<std::string> m_peers; ///< Addresses of some other hosts.
 };
 
 /// An order to a worker that the receiver passes on for the owner of the worker's shard.
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -267,46 +267,66 @@
     worker.m_lease_ended = true;
 }
 
+void update_worker(shard& state, const worker_listing& listing, time_point now)
+{
+    if (listing.m_service != state.m_service) {
+        unlist_worker(state, listing.m_id, now);
+        return;
+    }
+    const auto found = state.m_workers.find(listing.m_id);
+    worker_record& worker =
+        found != state.m_workers.end() ? *found->second : add_worker(state, listing);
+    if (listing.m_incarnation_start_ms != 0 && worker.m_incarnation_start_ms != 0 &&
+        listing.m_incarnation_start_ms > worker.m_incarnation_start_ms) {
+        end_incarnation(state, worker, now, true);
+        worker.m_answered = false;
+        worker.m_seen_end = 0;
+        worker.m_stored_end = 0;
+        worker.m_clock_at = {};
+        worker.m_consecutive_failures = 0;
+        worker.m_quarantined_until = {};
+        worker.m_slowness = 1;
+        worker.m_draining_since = {};
+        worker.m_cordoned = false;
+        worker.m_incarnation_start_ms = listing.m_incarnation_start_ms;
+    }
+    const bool drained_before = worker.m_info.m_draining;
+    worker.m_info = listing;
+    worker.m_listed = true;
+    worker.m_gone = false;
+    if (listing.m_draining && !drained_before) {
+        worker.m_draining_since = now;
+    }
+}
+
+void unlist_worker(shard& state, const worker_id& id, time_point now)
+{
+    const auto found = state.m_workers.find(id);
+    if (found != state.m_workers.end() && found->second->m_listed) {
+        found->second->m_listed = false;
+        found->second->m_unlisted_since = now;
+    }
+}
+
 void update_workers(shard& state, const std::vector<worker_listing>& listings, time_point now)
 {
     std::set<worker_id> listed;
     for (const worker_listing& listing : listings) {
-        if (listing.m_service != state.m_service) {
-            continue;
-        }
         listed.insert(listing.m_id);
-        const auto found = state.m_workers.find(listing.m_id);
-        worker_record& worker =
-            found != state.m_workers.end() ? *found->second : add_worker(state, listing);
-        if (listing.m_incarnation_start_ms != 0 && worker.m_incarnation_start_ms != 0 &&
-            listing.m_incarnation_start_ms != worker.m_incarnation_start_ms &&
-            listing.m_incarnation_start_ms > worker.m_incarnation_start_ms) {
-            end_incarnation(state, worker, now, true);
-            worker.m_answered = false;
-            worker.m_seen_end = 0;
-            worker.m_stored_end = 0;
-            worker.m_clock_at = {};
-            worker.m_consecutive_failures = 0;
-            worker.m_quarantined_until = {};
-            worker.m_slowness = 1;
-            worker.m_draining_since = {};
-            worker.m_cordoned = false;
-            worker.m_incarnation_start_ms = listing.m_incarnation_start_ms;
-        }
-        const bool drained_before = worker.m_info.m_draining;
-        worker.m_info = listing;
-        worker.m_listed = true;
-        worker.m_gone = false;
-        if (listing.m_draining && !drained_before) {
-            worker.m_draining_since = now;
+        update_worker(state, listing, now);
+    }
+    for (const auto& [id, worker] : state.m_workers) {
+        if (!listed.contains(id)) {
+            unlist_worker(state, id, now);
         }
     }
+    remove_departed_workers(state, now);
+}
+
+void remove_departed_workers(shard& state, time_point now)
+{
     for (auto it = state.m_workers.begin(); it != state.m_workers.end();) {
-        worker_record& worker = *it->second;
-        if (!listed.contains(it->first) && worker.m_listed) {
-            worker.m_listed = false;
-            worker.m_unlisted_since = now;
-        }
+        const worker_record& worker = *it->second;
         const bool over = !worker.m_listed && now - worker.m_unlisted_since > unlisted_grace &&
                           (worker.m_lease_ended && worker.m_runs.empty()) &&
                           !state.m_awaited_workers.contains(it->first);
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -293,9 +293,19 @@
 /// Adds or updates the queues that belong to the shard's service; ignores all others.
 void set_queues(shard& state, const std::vector<queue_contract>& queues);
 
-/// Applies a reading of the platform's worker list; ignores workers of other services.
+/// Applies a whole reading of the platform's worker list; ignores workers of other services.
 void update_workers(shard& state, const std::vector<worker_listing>& listings, time_point now);
 
+/// Applies one new or changed entry of the worker list. One that names another service counts as
+/// removed.
+void update_worker(shard& state, const worker_listing& listing, time_point now);
+
+/// Applies the removal of an entry from the worker list; does nothing for an unknown worker.
+void unlist_worker(shard& state, const worker_id& id, time_point now);
+
+/// Forgets workers that have not been listed for a while and cannot run anything any more.
+void remove_departed_workers(shard& state, time_point now);
+
 /// Accepts or refuses a submission. An accepted one becomes durable with the pending batch; a
 /// refusal states after how many seconds to retry.
 admission_result admit(shard& state, const submission_id& id, const queue_id& queue,
--- a/tests/schedule/large_pool_test.cpp
+++ b/tests/schedule/large_pool_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "support/virtual_pool.h"
@@ -44,6 +45,38 @@
     CHECK(state.m_tasks_examined == before);
 }
 
+// Guards against changes of single entries of the worker list that are taken for the whole list.
+TEST_CASE("an entry of the worker list changes one worker of a large pool", "[large_pool]")
+{
+    virtual_pool pool(worker_count, worker_size, 1);
+    pool.run_for(milliseconds(200));
+    shard& state = pool.current_owner().m_shard;
+    REQUIRE(state.m_workers.size() == worker_count);
+    const auto count_listed = [&state] {
+        return std::count_if(state.m_workers.begin(), state.m_workers.end(),
+                             [](const auto& entry) { return entry.second->m_listed; });
+    };
+    worker_listing joining = state.m_workers.begin()->second->m_info;
+    joining.m_id = worker_id("joining");
+    update_worker(state, joining, pool.now());
+    CHECK(count_listed() == worker_count + 1);
+
+    worker_listing moved = state.m_workers.rbegin()->second->m_info;
+    REQUIRE(moved.m_id != joining.m_id);
+    moved.m_service = service_id("another");
+    update_worker(state, moved, pool.now());
+    CHECK_FALSE(state.m_workers.at(moved.m_id)->m_listed);
+    unlist_worker(state, joining.m_id, pool.now());
+    CHECK_FALSE(state.m_workers.at(joining.m_id)->m_listed);
+    CHECK(count_listed() == worker_count - 1);
+
+    // A repeated removal does not start the waiting time of a departed worker anew.
+    const time_point unlisted_since = state.m_workers.at(joining.m_id)->m_unlisted_since;
+    pool.run_for(milliseconds(50));
+    unlist_worker(state, joining.m_id, pool.now());
+    CHECK(state.m_workers.at(joining.m_id)->m_unlisted_since == unlisted_since);
+}
+
 // Guards against a count of waiting tasks that disagrees with their phases after failures, stops,
 // lost workers and a change of owner: such a task would never start.
 TEST_CASE("every task of a large pool ends in spite of failures, lost workers and a new owner",
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -68,6 +68,11 @@
     return write(key, std::move(value), lease_id(), false);
 }
 
+revision paced_store::remove(const std::string& key)
+{
+    return write(key, {}, lease_id(), true);
+}
+
 std::size_t paced_store::copies_sent(const std::string& key) const
 {
     const auto found = m_copies.find(key);
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -25,6 +25,9 @@
     /// Writes a record as the operator does, without a condition.
     revision put(const std::string& key, std::string value);
 
+    /// Removes a record as the operator does, without a condition.
+    revision remove(const std::string& key);
+
     /// True if there is a record under a key.
     [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
 
