Wait for the configuration in the test of the transfer metrics

The wait was fixed, and the sanitized build under load had not received the configuration yet.

Change: the case reads the metrics until the configuration has come from the store, within the limit of all waits.

--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -289,15 +289,18 @@
     store.put(config_key, make_config(1, 300));
     const local_host first(context, "host-a", store.address(), {});
     const local_host second(context, "host-b", store.address(), {to_text(first.m_peer_address)});
-    context.run_for(milliseconds(100));
     http_client http(context, 1);
-    const std::string text = get(context, http, second.m_metrics_address, "/metrics").m_body;
+    std::string text;
     const auto value = [&text](const std::string& name) {
         const std::size_t at = text.find("\n" + name + " ");
         REQUIRE(at != std::string::npos);
         return std::stod(text.substr(at + name.size() + 2));
     };
-    CHECK(value("guavabay_store_received_bytes_total") > 20'000);
+    CHECK(run_until(context, [&] {
+        text = get(context, http, second.m_metrics_address, "/metrics").m_body;
+        return !text.empty() && value("guavabay_store_received_bytes_total") > 20'000 &&
+               value("guavabay_peer_sent_total{message=\"greeting\"}") >= 1;
+    }));
     CHECK(value("guavabay_peer_sent_total{message=\"greeting\"}") >= 1);
     CHECK(value("guavabay_peer_sent_bytes_total{message=\"greeting\"}") > 0);
     CHECK(value("guavabay_peer_received_total{message=\"relay_reply\"}") == 0);
