--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -24,6 +24,11 @@
 /// Begins the specification of a lasting subtask whose first run ends `done`; later ones don't end.
 constexpr std::string_view ends_once_prefix = "ends-once ";
 
+/// Begins the specification of a submission whose first step is a gang; its size and length follow.
+/// Its other steps take as long as the gang.
+constexpr std::string_view gang_prefix = "gang ";
+constexpr milliseconds gang_wait{3000};
+
 /// Startup of a lasting subtask, and a time that no test reaches.
 constexpr milliseconds startup_time{300};
 constexpr milliseconds endless{3600000};
@@ -47,6 +52,13 @@
         .count();
 }
 
+/// True for a subtask of a submission's first step; its name is ID.OCCURRENCE.STEP.INDEX.
+bool is_first_step(const std::string& task)
+{
+    const std::string step = task.substr(0, task.rfind('.'));
+    return step.ends_with(".0");
+}
+
 } // namespace
 
 void run_checker::begin(const std::string& runner, const std::string& task, std::int64_t run)
@@ -81,6 +93,16 @@
     }
 }
 
+std::shared_ptr<gang_run> run_checker::find_gang(const std::string& task, std::int64_t run)
+{
+    std::shared_ptr<gang_run>& gang =
+        m_gangs[task.substr(0, task.rfind('.')) + " " + std::to_string(run)];
+    if (!gang) {
+        gang = std::make_shared<gang_run>();
+    }
+    return gang;
+}
+
 std::size_t run_checker::starts(const std::string& task) const
 {
     const auto found = m_starts.find(task);
@@ -120,6 +142,9 @@
     m_server.close();
     for (const auto& [task, each] : m_runs) {
         m_checker.end(m_traits.m_id, task, each.m_number, "lost with the runner");
+        if (each.m_gang) {
+            each.m_gang->m_broken = !each.m_gang->m_done;
+        }
     }
     m_runs.clear();
     m_ended.clear();
@@ -191,6 +216,9 @@
 {
     const auto found = m_runs.find(task);
     const std::int64_t number = found->second.m_number;
+    if (found->second.m_gang) {
+        found->second.m_gang->m_broken = !found->second.m_gang->m_done;
+    }
     m_runs.erase(found);
     std::int64_t& highest = m_highest_ended[task];
     highest = std::max(highest, number);
@@ -198,20 +226,39 @@
     m_checker.end(m_traits.m_id, task, number, how);
 }
 
+std::string runner::find_end(const run& each, steady::time_point now) const
+{
+    if (clock_ms() > m_lease_until_ms) {
+        return "lapsed";
+    }
+    if (each.m_stopping && now >= each.m_stops_at) {
+        return "stopped";
+    }
+    if (each.m_gang) {
+        gang_run& gang = *each.m_gang;
+        const bool complete = gang.m_present == gang.m_size;
+        if (!gang.m_broken && complete && now - gang.m_complete_at >= each.m_length) {
+            gang.m_done = true;
+        }
+        if (gang.m_done || gang.m_broken) {
+            return gang.m_done ? "done" : "broken";
+        }
+        return !complete && now - each.m_began > gang_wait ? "alone" : "";
+    }
+    if (now - each.m_began >= each.m_length) {
+        return each.m_fails ? "failed" : "done";
+    }
+    return "";
+}
+
 void runner::end_due_runs()
 {
-    const bool lapsed = clock_ms() > m_lease_until_ms;
     const steady::time_point now = steady::now();
     std::vector<std::pair<std::string, std::string>> due;
     for (const auto& [task, each] : m_runs) {
-        if (lapsed) {
-            due.emplace_back(task, "lapsed");
-        }
-        else if (each.m_stopping && now >= each.m_stops_at) {
-            due.emplace_back(task, "stopped");
-        }
-        else if (now - each.m_began >= each.m_length) {
-            due.emplace_back(task, each.m_fails ? "failed" : "done");
+        const std::string how = find_end(each, now);
+        if (!how.empty()) {
+            due.emplace_back(task, how);
         }
     }
     for (const auto& [task, how] : due) {
@@ -240,6 +287,28 @@
     m_lease_until_ms = std::max(m_lease_until_ms, std::min(deadline_ms, clock_ms() + max_hold_ms));
 }
 
+void runner::set_work(run& begun, const std::string& task, const std::string& spec)
+{
+    const bool fails_once = spec.starts_with(fails_once_prefix);
+    begun.m_fails = fails_once && m_checker.starts(task) == 0;
+    begun.m_lasts = spec.starts_with(ends_once_prefix);
+    begun.m_length = milliseconds(std::stoll(spec.substr(spec.rfind(' ') + 1)));
+    if (spec.starts_with(gang_prefix) && is_first_step(task)) {
+        begun.m_gang = m_checker.find_gang(task, begun.m_number);
+        begun.m_gang->m_size = std::stoul(spec.substr(gang_prefix.size()));
+        if (++begun.m_gang->m_present == begun.m_gang->m_size) {
+            begun.m_gang->m_complete_at = begun.m_began;
+        }
+    }
+    else if (!begun.m_lasts) {
+        // Equal subtasks don't take exactly the same time.
+        begun.m_length += milliseconds(std::hash<std::string>()(task) % run_time_spread_ms);
+    }
+    if (begun.m_lasts && m_checker.starts(task) > 0) {
+        begun.m_length = endless;
+    }
+}
+
 http_reply runner::start_run(const std::string& body)
 {
     const json::object order = json::parse(body).as_object();
@@ -264,17 +333,7 @@
         run begun;
         begun.m_number = number;
         begun.m_began = steady::now();
-        const bool fails_once = spec.starts_with(fails_once_prefix);
-        begun.m_fails = fails_once && m_checker.starts(task) == 0;
-        begun.m_lasts = spec.starts_with(ends_once_prefix);
-        begun.m_length = milliseconds(std::stoll(spec.substr(spec.rfind(' ') + 1)));
-        if (!begun.m_lasts) {
-            // Equal subtasks don't take exactly the same time.
-            begun.m_length += milliseconds(std::hash<std::string>()(task) % run_time_spread_ms);
-        }
-        if (begun.m_lasts && m_checker.starts(task) > 0) {
-            begun.m_length = endless;
-        }
+        set_work(begun, task, spec);
         m_runs[task] = begun;
         m_checker.begin(m_traits.m_id, task, number);
     }
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -13,6 +13,15 @@
 
 namespace review {
 
+/// One run of a gang, whose members may be on several runners.
+struct gang_run {
+    std::size_t m_size = 0;
+    std::size_t m_present = 0;
+    steady::time_point m_complete_at{};
+    bool m_done = false;
+    bool m_broken = false;
+};
+
 /// What the scenarios check about the runs of subtasks, over all runners.
 class run_checker {
 public:
@@ -29,6 +38,9 @@
     /// The owner has acknowledged a run's end.
     void take_note(const std::string& task, const std::string& how);
 
+    /// The gang that a run belongs to; it is the same for all members.
+    std::shared_ptr<gang_run> find_gang(const std::string& task, std::int64_t run);
+
     /// Number of runs of a subtask that began.
     [[nodiscard]] std::size_t starts(const std::string& task) const;
 
@@ -41,6 +53,7 @@
         m_active; ///< Run by runner, by task.
     std::set<std::string> m_noted_done;
     std::map<std::string, std::size_t> m_starts;
+    std::map<std::string, std::shared_ptr<gang_run>> m_gangs;
 };
 
 /// A runner as PROTOCOL.md describes it; its subtasks take the time in their specification, a
@@ -85,6 +98,7 @@
         milliseconds m_length{0};
         bool m_fails = false;
         bool m_lasts = false;
+        std::shared_ptr<gang_run> m_gang; ///< Null if the subtask belongs to none.
         bool m_stopping = false;
         steady::time_point m_stops_at{};
     };
@@ -102,6 +116,9 @@
     asio::awaitable<void> work();
     asio::awaitable<void> send_beats();
     void beat();
+    void set_work(run& begun, const std::string& task, const std::string& spec);
+    /// How a run ends now; empty if it goes on.
+    [[nodiscard]] std::string find_end(const run& each, steady::time_point now) const;
     void end_run(const std::string& task, const std::string& how);
     void end_due_runs();
     [[nodiscard]] std::int64_t clock_ms() const;
--- a/review/standins/scenarios.cpp
+++ b/review/standins/scenarios.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds recovery_time{12000};
 constexpr milliseconds finish_time{14000};
 
+/// Longest time for which an unfinished submission may have nothing running.
+constexpr milliseconds idle_limit{3000};
+
 constexpr std::size_t host_count = 3;
 
 /// Runners of a service; one of them is less than the share that a disruption of runners may take.
@@ -466,6 +469,63 @@
     co_return result_of(place);
 }
 
+/// A gang ends while the runner of one member is cut off, and that runner crashes behind the cut.
+asio::awaitable<outcome> finish_gang_behind_cut(deployment& place)
+{
+    const std::string service = "alpha";
+    const std::vector<std::string> services(1, service);
+    if (!co_await start_deployment(place, services)) {
+        co_return outcome::not_run;
+    }
+    const std::string id = make_id(1);
+    // Each runner has room for one member.
+    json::object what = make_submission("gang 2 3000", 2, 10000, 3000);
+    json::array& steps = what["steps"].as_array();
+    steps.front().as_object()["gang"] = true;
+    steps.push_back(json::object{{"count", 1},
+                                 {"cpu", 1000},
+                                 {"mem-mb", 64},
+                                 {"estimate-ms", 3000},
+                                 {"after", json::array{0}}});
+    if (!co_await submit(place, service, id, what)) {
+        co_return outcome::not_run;
+    }
+    co_await pause_for(place.m_context, milliseconds(2000));
+    const auto at_work = std::find_if(place.m_runners.rbegin(), place.m_runners.rend(),
+                                      [&](const auto& each) { return each->is_running(id); });
+    if (at_work == place.m_runners.rend()) {
+        co_return outcome::not_run;
+    }
+    if (place.m_trouble) {
+        (*at_work)->set_cut(true);
+    }
+    co_await pause_for(place.m_context, milliseconds(3000));
+    if (place.m_trouble) {
+        (*at_work)->crash();
+    }
+    co_await pause_for(place.m_context, milliseconds(2000));
+    if (place.m_trouble) {
+        (*at_work)->restart();
+        (*at_work)->set_cut(false);
+    }
+    co_await pause_for(place.m_context, finish_time);
+    bool ran = false;
+    const auto end = steady::now() + idle_limit;
+    while (steady::now() < end) {
+        for (const auto& each : place.m_runners) {
+            ran = ran || each->is_running(id);
+        }
+        co_await pause_for(place.m_context, milliseconds(20));
+    }
+    const caller_answer answer =
+        co_await call_until(place, "GET", "/" + service + "/" + id, "", milliseconds(5000));
+    if (!ran && answer.m_body.find("succeeded") == std::string::npos) {
+        place.m_log.add_violation("LOST", "nothing of the submission " + id +
+                                              " runs for 3 s, and it isn't finished");
+    }
+    co_return result_of(place);
+}
+
 } // namespace
 
 deployment::deployment(asio::io_context& context, record& log, std::string program,
@@ -495,6 +555,9 @@
     if (name == "kill-owner-after-cancel") {
         co_return co_await kill_owner_after_cancel(place);
     }
+    if (name == "finish-gang-behind-cut") {
+        co_return co_await finish_gang_behind_cut(place);
+    }
     co_return outcome::not_run;
 }
 
