--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
-exec review/run-scenario.sh restart-runner-in-outage "$here/record.txt"
+exec review/run-scenario.sh kill-owner-after-cancel "$here/record.txt"
--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -204,6 +204,11 @@
 
 asio::awaitable<void> runner::send_beats()
 {
+    beat();
+    // Runners don't report in step.
+    const std::size_t phase =
+        std::hash<std::string>()(m_traits.m_id) % static_cast<std::size_t>(beat_interval.count());
+    co_await pause_for(m_context, milliseconds(phase));
     while (true) {
         if (m_up && !m_cut) {
             beat();
