Keep the runs that a restarted worker may have accepted until it reports

Cause: on an entry with a newer start time update_worker() ended every run that had been accepted, also those that the new incarnation had accepted, and their tasks started elsewhere.

Change: only runs that a report of the former incarnation has listed end with it. The others keep their tasks until the first report of the new one, which settles each. Until then the lease counts as the longest that a worker grants. A late report of a former incarnation is ignored, and a worker whose last hold got no answer gets no starts.

--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -167,6 +167,7 @@
     bounds.m_worker_lease =
         std::min(max_worker_lease,
                  milliseconds(static_cast<std::int64_t>(max_hold_ms * worker_lease_fraction)));
+    bounds.m_max_worker_lease = milliseconds(values.number("longest-hold-ms"));
     bounds.m_stop_time = milliseconds(values.number("stop-ms"));
     bounds.m_drain_time = milliseconds(values.number("drain-ms"));
     bounds.m_absence_grace = milliseconds(values.number("notice-ms"));
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -222,7 +222,7 @@
 /// clock, stops stalled runs, and queues stop orders that are due.
 void check_worker(shard& state, const worker_id& id, worker_record& worker, time_point now)
 {
-    if (worker.m_answered && !worker.m_lease_ended && now > worker.m_lease_until) {
+    if (!worker.m_lease_ended && now > worker.m_lease_until) {
         state.m_log_lines.push_back("worker's lease ended: worker=" + id.str() +
                                     " runs=" + std::to_string(worker.m_runs.size()));
         end_incarnation(state, worker, now, true);
@@ -289,8 +289,9 @@
 
 bool accepts_starts(const worker_record& worker, time_point now)
 {
-    return worker.m_answered && worker.m_use_stored && !worker.m_lease_ended && !worker.m_gone &&
-           !worker.m_cordoned && !worker.m_info.m_draining && worker.m_quarantined_until <= now &&
+    return worker.m_answered && !worker.m_hold_failed && worker.m_use_stored &&
+           !worker.m_lease_ended && !worker.m_gone && !worker.m_cordoned &&
+           !worker.m_info.m_draining && worker.m_quarantined_until <= now &&
            (worker.m_listed || now - worker.m_unlisted_since < unlisted_start_grace) &&
            now - worker.m_last_heard_at < max_report_age;
 }
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -102,6 +102,7 @@
         if (step.m_uses_idle_cores) {
             slot.m_reserved.m_cpu_millis = 0;
         }
+    slot.m_reported = true;
         // A blocked task counts too: the ends of its preceding steps may not have been reported
         // yet.
         is_adoptable = found.m_task->m_phase == task_phase::ready ||
@@ -156,6 +157,7 @@
     }
     if (!reported.m_checkpoint.empty()) {
         found.m_task->m_checkpoint = reported.m_checkpoint;
+    slot->m_reported = true;
     }
     const bool at_work = reported.m_percent >= 100 && slot->m_phase == run_phase::running;
     if (slot->m_long_running && at_work != found.m_task->m_available) {
@@ -429,10 +431,8 @@
 
 void extend_lease(worker_record& worker, std::int64_t deadline_ms)
 {
-    const double lease_ms = static_cast<double>(deadline_ms - worker.m_clock_ms) / min_clock_rate;
     const time_point until =
-        worker.m_clock_at +
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(lease_ms));
+        worker.m_clock_at + longest_real_time(milliseconds(deadline_ms - worker.m_clock_ms));
     worker.m_lease_until = std::max(worker.m_lease_until, until);
 }
 
@@ -458,6 +458,12 @@
 
 void apply_report(shard& state, const worker_id& id, const worker_report& report, time_point sent,
                   time_point now, wall_time wall)
+duration longest_real_time(milliseconds by_worker_clock)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(by_worker_clock) / min_clock_rate);
+}
+
 {
     const auto found = state.m_workers.find(id);
     if (found == state.m_workers.end()) {
@@ -466,11 +472,13 @@
     worker_record& worker = *found->second;
     if (report.m_incarnation_start_ms != 0 && worker.m_incarnation_start_ms != 0 &&
         report.m_incarnation_start_ms != worker.m_incarnation_start_ms) {
-        state.m_log_lines.push_back("worker started a new incarnation: worker=" + id.str());
-        end_incarnation(state, worker, now, true);
-        worker.m_seen_end = 0;
-        worker.m_stored_end = 0;
-        worker.m_answered = false;
+        if (report.m_incarnation_start_ms < worker.m_incarnation_start_ms &&
+            sent <= worker.m_incarnation_known_at) {
+            state.m_log_lines.push_back("report of a former incarnation ignored: worker=" +
+                                        id.str());
+            return;
+        }
+        begin_incarnation(state, worker, report.m_incarnation_start_ms, now);
     }
     if (report.m_incarnation_start_ms != 0) {
         worker.m_incarnation_start_ms = report.m_incarnation_start_ms;
@@ -482,10 +490,8 @@
     if (!worker.m_answered) {
         worker.m_answered = true;
         state.m_awaited_workers.erase(id);
-        worker.m_lease_until = std::max(
-            worker.m_lease_until,
-            now + std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-                      state.m_bounds.m_worker_lease / min_clock_rate)));
+        worker.m_lease_until =
+            std::max(worker.m_lease_until, now + longest_real_time(state.m_bounds.m_worker_lease));
     }
     worker.m_lease_ended = false;
     worker.m_hold_failed = false;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -226,10 +226,8 @@
 {
     state.m_loaded = true;
     state.m_pending.m_entries.emplace_back(log_ownership_taken{state.m_token.get()});
-    const double slowest_clock = 0.98;
-    const auto lease = std::chrono::duration_cast<milliseconds>(
-        std::chrono::duration<double, std::milli>(state.m_bounds.m_worker_lease) / slowest_clock);
-    state.m_awaited_until = now + state.m_bounds.m_unproven_renewal_time + lease;
+    state.m_awaited_until = now + state.m_bounds.m_unproven_renewal_time +
+                            longest_real_time(state.m_bounds.m_worker_lease);
     for (submission_record* record : state.m_open_submissions) {
         set_deadlines(state, *record);
         for (occurrence_state& occurrence : record->m_occurrences) {
@@ -264,6 +262,50 @@
         it = erase_run(worker, it);
     }
     state.m_awaited_workers.erase(worker.m_info.m_id);
+void begin_incarnation(shard& state, worker_record& worker, std::int64_t start_ms, time_point now)
+{
+    std::size_t kept = 0;
+    for (auto it = worker.m_runs.begin(); it != worker.m_runs.end();) {
+        run_slot& slot = it->second;
+        if (!slot.m_reported) {
+            // An answer to a stop order may have come from the former incarnation.
+            slot.m_stop_answered = false;
+            slot.m_next_stop_at = {};
+            ++kept;
+            ++it;
+            continue;
+        }
+        const found_task found = find_task(state, slot.m_task);
+        if (found.m_task != nullptr && !slot.m_detached && found.m_task->m_worker == &worker &&
+            found.m_task->m_run == slot.m_run) {
+            make_ready(state, found, now);
+        }
+        it = erase_run(worker, it);
+    }
+    state.m_log_lines.push_back(
+        "worker started a new incarnation: worker=" + worker.m_info.m_id.str() +
+        " start_ms=" + std::to_string(start_ms) + " former_start_ms=" +
+        std::to_string(worker.m_incarnation_start_ms) + " kept_runs=" + std::to_string(kept));
+    worker.m_stop_due = true;
+    worker.m_answered = false;
+    worker.m_seen_end = 0;
+    worker.m_stored_end = 0;
+    worker.m_clock_at = {};
+    worker.m_consecutive_failures = 0;
+    worker.m_quarantined_until = {};
+    worker.m_slowness = 1;
+    worker.m_draining_since = {};
+    worker.m_cordoned = false;
+    worker.m_incarnation_start_ms = start_ms;
+    worker.m_incarnation_known_at = now;
+    worker.m_lease_ended = kept == 0;
+    if (kept > 0) {
+        // A start order carries a deadline by the clock of the incarnation that it was meant for.
+        worker.m_lease_until = std::max(worker.m_lease_until,
+                                        now + longest_real_time(state.m_bounds.m_max_worker_lease));
+    }
+}
+
     worker.m_lease_ended = true;
 }
 
@@ -278,17 +320,7 @@
         found != state.m_workers.end() ? *found->second : add_worker(state, listing);
     if (listing.m_incarnation_start_ms != 0 && worker.m_incarnation_start_ms != 0 &&
         listing.m_incarnation_start_ms > worker.m_incarnation_start_ms) {
-        end_incarnation(state, worker, now, true);
-        worker.m_answered = false;
-        worker.m_seen_end = 0;
-        worker.m_stored_end = 0;
-        worker.m_clock_at = {};
-        worker.m_consecutive_failures = 0;
-        worker.m_quarantined_until = {};
-        worker.m_slowness = 1;
-        worker.m_draining_since = {};
-        worker.m_cordoned = false;
-        worker.m_incarnation_start_ms = listing.m_incarnation_start_ms;
+        begin_incarnation(state, worker, listing.m_incarnation_start_ms, now);
     }
     const bool drained_before = worker.m_info.m_draining;
     worker.m_info = listing;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -37,6 +37,7 @@
 struct schedule_bounds {
     milliseconds m_worker_lease{3000};          ///< Lease granted with each hold; shorter than the
                                                 ///< one that the platform grants.
+    milliseconds m_max_worker_lease{10000};     ///< Longest lease that a worker grants itself.
     milliseconds m_unproven_renewal_time{5000}; ///< How long an owner renews leases after its
                                                 ///< ownership was last proven.
     milliseconds m_stop_time{900};              ///< Longest time from a stop order to the end.
@@ -129,6 +130,7 @@
     bool m_stay_logged = false; ///< The log says already that it cannot leave its worker.
     time_point m_stop_answered_at{};
     time_point m_accepted_at{};  ///< When the worker confirmed the start.
+    bool m_reported = false;     ///< The worker has listed it, in its current incarnation.
     std::int32_t m_percent = -1; ///< Last reported progress; -1 before the first report.
     time_point m_progress_at{};  ///< When the progress last changed.
     std::int64_t m_load = 0;     ///< As reported: tail in milliseconds or cores in use.
@@ -151,6 +153,7 @@
     time_point m_draining_since{};
     bool m_answered = false; ///< It has answered a hold with this owner's fencing token.
     std::int64_t m_incarnation_start_ms = 0; ///< Unix time; zero if unknown.
+    time_point m_incarnation_known_at{};     ///< When this owner learned of the incarnation.
     std::int64_t m_clock_ms = 0;             ///< Its clock at the last answer.
     time_point m_clock_at{};                 ///< When that answer arrived.
     time_point m_last_heard_at{};            ///< When it last answered.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -71,7 +71,7 @@
 void close_submission(shard& state, submission_record& record, submission_state final_state,
                       wall_time wall);
 
-/// Ends a worker's incarnation: removes its runs and makes their tasks ready. With
+/// Ends a worker's incarnation or lease: removes its runs and makes their tasks ready. With
 /// `keep_unanswered`, recent start orders that the worker may still execute stay as runs to be
 /// stopped.
 void end_incarnation(shard& state, worker_record& worker, time_point now, bool keep_unanswered);
@@ -84,6 +84,11 @@
 
 /// Computes a submission's objective and hard deadline from its queue's contract and its
 /// estimates.
+/// Replaces a worker's incarnation by a newer one. Runs that the worker has listed have ended. The
+/// others were ordered around the restart, so the new incarnation may have them: they keep their
+/// tasks until its first report.
+void begin_incarnation(shard& state, worker_record& worker, std::int64_t start_ms, time_point now);
+
 void set_deadlines(const shard& state, submission_record& record);
 
 /// Converts a moment of the runtime's clock to the worker's clock, in milliseconds.
@@ -97,6 +102,9 @@
 void adjust_paces(shard& state, time_point now);
 
 /// Adds a newly arrived submission to the arrival rate. Retries of a refused one must not be added
+/// Longest real time that can pass while a worker's clock advances by the given time.
+duration longest_real_time(milliseconds by_worker_clock);
+
 /// again.
 void record_arrival(shard& state, const submission& what, time_point now);
 
--- /dev/null
+++ b/tests/schedule/worker_incarnation_test.cpp
@@ -0,0 +1,166 @@
+#include <catch2/catch.hpp>
+
+#include "support/virtual_pool.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr resources worker_size{16000, 32768, 0};
+constexpr resources small_task{2000, 1000, 0};
+constexpr std::int64_t restart_offset_ms = 5000;
+
+/// The Unix time at a moment of the virtual clock.
+wall_time unix_time_at(time_point now)
+{
+    return wall_time(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) +
+                     seconds(1700000000));
+}
+
+/// Runs a pool until a worker has a run; returns the worker's index.
+std::size_t run_until_started(virtual_pool& pool)
+{
+    for (int elapsed = 0; elapsed < 1000; ++elapsed) {
+        pool.run_for(milliseconds(1));
+        for (std::size_t i = 0; i < pool.m_workers.size(); ++i) {
+            if (!pool.m_workers[i].m_runs.empty()) {
+                return i;
+            }
+        }
+    }
+    FAIL("no worker has a run");
+    return 0;
+}
+
+/// An owner whose scheduler has ordered one start that the worker has not answered.
+struct ordered_start {
+    ordered_start() : m_pool(2, worker_size, 32), m_state(m_pool.current_owner().m_shard)
+    {
+        m_pool.run_for(milliseconds(200));
+        m_pool.submit("a", make_submission({1}, small_task, milliseconds(1500)));
+        m_pool.current_owner().m_next_hold = m_pool.now() + seconds(60);
+        m_pool.run_for(milliseconds(60));
+        m_order = plan_at(m_pool.now()).at(0);
+        m_listing = m_state.m_workers.at(m_order.m_worker)->m_info;
+    }
+
+    /// Plans and returns the start orders.
+    std::vector<worker_order> plan_at(time_point now)
+    {
+        plan(m_state, now, unix_time_at(now));
+        std::vector<worker_order> orders;
+        orders.swap(m_state.m_orders);
+        std::erase_if(orders, [](const worker_order& order) {
+            return order.m_kind != worker_order::kind::start;
+        });
+        return orders;
+    }
+
+    /// A report of an incarnation of the worker.
+    [[nodiscard]] worker_report report_of(std::int64_t incarnation_start_ms,
+                                          std::int64_t clock_ms) const
+    {
+        worker_report report;
+        report.m_incarnation_start_ms = incarnation_start_ms;
+        report.m_clock_ms = clock_ms;
+        return report;
+    }
+
+    virtual_pool m_pool;
+    shard& m_state;
+    worker_order m_order;
+    worker_listing m_listing;
+};
+
+} // namespace
+
+// Guards against duplicate runs: the list named a worker's new incarnation before its first report,
+// and runs that it had already accepted were taken for runs of the former one.
+TEST_CASE("runs that a restarted worker has accepted are not started elsewhere",
+          "[worker_incarnation]")
+{
+    virtual_pool pool(2, worker_size, 31);
+    pool.run_for(milliseconds(200));
+    pool.submit("a", make_submission({1}, small_task, milliseconds(1500)));
+    virtual_worker& restarted = pool.m_workers[run_until_started(pool)];
+    // The worker restarted just before it accepted the start, and its first report is late.
+    restarted.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    restarted.m_partitioned_owners.insert(0);
+    pool.run_for(milliseconds(200));
+    restarted.m_partitioned_owners.clear();
+    pool.run_for(milliseconds(2000));
+    CHECK(pool.state("a") == submission_state::succeeded);
+    CHECK(pool.m_starts["a.0.0.0"] == 1);
+    CHECK(pool.violations().empty());
+}
+
+// Guards against duplicate runs: an order that was under way to a restarted worker was repeated
+// elsewhere before it was known whether the new incarnation had accepted it.
+TEST_CASE("a start order under way to a restarted worker keeps its task", "[worker_incarnation]")
+{
+    ordered_start given;
+    const time_point now = given.m_pool.now();
+    given.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    update_worker(given.m_state, given.m_listing, now + milliseconds(10));
+    CHECK(given.plan_at(now + milliseconds(100)).empty());
+    // The new incarnation accepts the order and reports its run.
+    apply_order_answer(given.m_state, given.m_order, order_outcome::accepted,
+                       now + milliseconds(110), unix_time_at(now));
+    worker_report report = given.report_of(given.m_listing.m_incarnation_start_ms, 50);
+    report.m_running.push_back({given.m_order.m_task, given.m_order.m_run, "", 1, 0});
+    apply_report(given.m_state, given.m_order.m_worker, report, now + milliseconds(120),
+                 now + milliseconds(130), unix_time_at(now));
+    CHECK(given.plan_at(now + milliseconds(200)).empty());
+    CHECK(given.m_state.m_workers.at(given.m_order.m_worker)->m_runs.begin()->second.m_phase ==
+          run_phase::running);
+}
+
+TEST_CASE("a run that a restarted worker does not report is started again", "[worker_incarnation]")
+{
+    ordered_start given;
+    const time_point now = given.m_pool.now();
+    apply_order_answer(given.m_state, given.m_order, order_outcome::accepted, now + milliseconds(5),
+                       unix_time_at(now));
+    given.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    update_worker(given.m_state, given.m_listing, now + milliseconds(10));
+    apply_report(given.m_state, given.m_order.m_worker,
+                 given.report_of(given.m_listing.m_incarnation_start_ms, 50),
+                 now + milliseconds(20), now + milliseconds(30), unix_time_at(now));
+    const std::vector<worker_order> orders = given.plan_at(now + milliseconds(100));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].m_task == given.m_order.m_task);
+    CHECK(orders[0].m_run > given.m_order.m_run);
+}
+
+// Guards against orders by the clock of an incarnation that has ended: a report that was on its way
+// when the list named the new incarnation made the worker usable.
+TEST_CASE("a report of a worker's former incarnation is ignored", "[worker_incarnation]")
+{
+    ordered_start given;
+    const time_point now = given.m_pool.now();
+    const std::int64_t former = given.m_listing.m_incarnation_start_ms;
+    given.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    update_worker(given.m_state, given.m_listing, now + milliseconds(10));
+    apply_report(given.m_state, given.m_order.m_worker, given.report_of(former, 1000000),
+                 now - milliseconds(100), now + milliseconds(20), unix_time_at(now));
+    const worker_record& worker = *given.m_state.m_workers.at(given.m_order.m_worker);
+    CHECK_FALSE(worker.m_answered);
+    CHECK(worker.m_incarnation_start_ms == given.m_listing.m_incarnation_start_ms);
+}
+
+// Guards against starts that are lost with a worker or reach its next incarnation.
+TEST_CASE("a worker whose last hold got no answer gets no starts", "[worker_incarnation]")
+{
+    virtual_pool pool(1, worker_size, 33);
+    pool.run_for(milliseconds(200));
+    shard& state = pool.current_owner().m_shard;
+    pool.submit("a", make_submission({1}, small_task, milliseconds(300)));
+    pool.m_workers[0].m_partitioned_owners.insert(0);
+    pool.run_for(milliseconds(300));
+    CHECK(state.m_starts == 0);
+    pool.m_workers[0].m_partitioned_owners.clear();
+    pool.run_for(milliseconds(600));
+    CHECK(pool.state("a") == submission_state::succeeded);
+}
+
+} // namespace guavabay
