Do not acknowledge ends of a restarted worker by those of its former life

Cause: log_batch::m_ends had no incarnation. Ends of the former one that were stored after the restart set m_stored_end, and the next hold told the worker to forget ends that nobody had seen. A hold to a worker that has restarted unnoticed did the same.

Change: each end names its incarnation, and a hold after a failed one acknowledges nothing; the worker then repeats ends that the owner knows already.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -486,8 +486,8 @@
                 wake_waiters(cancelled->m_id);
             }
         }
-        for (const auto& [worker, number] : batch->m_ends) {
-            const auto found = m_hold_timers.find(worker);
+        for (const end_position& end : batch->m_ends) {
+            const auto found = m_hold_timers.find(end.m_worker);
             if (found != m_hold_timers.end()) {
                 found->second->cancel();
             }
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -443,9 +443,11 @@
         return std::nullopt;
     }
     worker_record& worker = *found->second;
-    hold_request request{id, worker.m_info.m_address, std::nullopt, worker.m_stored_end};
     // A request without an answer may still have extended the lease. After a failure the request
-    // carries no deadline, so that the lease of a lost worker expires.
+    // carries no deadline, so that the lease of a lost worker expires, and acknowledges nothing,
+    // since the worker may have restarted.
+    hold_request request{id, worker.m_info.m_address, std::nullopt,
+                         worker.m_hold_failed ? 0 : worker.m_stored_end};
     if (worker.m_answered && worker.m_clock_at != time_point{} && state.m_may_hold &&
         !worker.m_hold_failed) {
         const std::int64_t deadline =
@@ -500,7 +502,7 @@
         if (end.m_number > worker.m_seen_end) {
             worker.m_seen_end = end.m_number;
             process_end(state, worker, end, now, wall);
-            state.m_pending.m_ends.emplace_back(id, end.m_number);
+            state.m_pending.m_ends.push_back({id, worker.m_incarnation_start_ms, end.m_number});
         }
     }
     for (const reported_run& run : report.m_running) {
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -439,10 +439,11 @@
             }
         }
     }
-    for (const auto& [worker, number] : batch.m_ends) {
-        const auto found = state.m_workers.find(worker);
-        if (found != state.m_workers.end()) {
-            found->second->m_stored_end = std::max(found->second->m_stored_end, number);
+    for (const end_position& end : batch.m_ends) {
+        const auto found = state.m_workers.find(end.m_worker);
+        if (found != state.m_workers.end() &&
+            found->second->m_incarnation_start_ms == end.m_incarnation_start_ms) {
+            found->second->m_stored_end = std::max(found->second->m_stored_end, end.m_number);
         }
     }
 }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -178,11 +178,18 @@
     bool m_gone = false; ///< The incarnation is over; the record is removed once unreferenced.
 };
 
+/// A run end that a worker reported. Each incarnation of a worker numbers its ends from 1.
+struct end_position {
+    worker_id m_worker;
+    std::int64_t m_incarnation_start_ms = 0; ///< Of the incarnation that reported it; Unix time.
+    std::int64_t m_number = 0;
+};
+
 /// Entries that one write appends to the submission log.
 struct log_batch {
     std::uint64_t m_number = 0;
     std::vector<log_entry> m_entries;
-    std::vector<std::pair<worker_id, std::int64_t>> m_ends; ///< Run ends that become durable.
+    std::vector<end_position> m_ends; ///< Run ends that become durable.
 };
 
 /// A permission of the advice service to run a step on a worker, with its expiry.
--- a/tests/schedule/worker_incarnation_test.cpp
+++ b/tests/schedule/worker_incarnation_test.cpp
@@ -148,6 +148,52 @@
     CHECK(worker.m_incarnation_start_ms == given.m_listing.m_incarnation_start_ms);
 }
 
+// Guards against duplicate runs: stored ends of a former incarnation acknowledged ends of the next
+// one that nobody had seen, and their tasks were started again.
+TEST_CASE("stored ends of a former incarnation acknowledge none of the next one",
+          "[worker_incarnation]")
+{
+    ordered_start given;
+    const time_point now = given.m_pool.now();
+    worker_report report = given.report_of(given.m_listing.m_incarnation_start_ms, 1000000);
+    report.m_ended.push_back({7, given.m_order.m_task, given.m_order.m_run, run_end::done, ""});
+    apply_report(given.m_state, given.m_order.m_worker, report, now, now + milliseconds(5),
+                 unix_time_at(now));
+    const std::optional<log_batch> batch = take_batch(given.m_state);
+    REQUIRE(batch);
+    given.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    update_worker(given.m_state, given.m_listing, now + milliseconds(10));
+    mark_batch_stored(given.m_state, *batch, unix_time_at(now));
+    const std::optional<hold_request> request =
+        next_hold_request(given.m_state, given.m_order.m_worker, now + milliseconds(20));
+    REQUIRE(request);
+    CHECK(request->m_acked_through == 0);
+}
+
+// Guards against the same when the owner has not yet learned that the worker restarted.
+TEST_CASE("a hold after a failed one acknowledges no ends", "[worker_incarnation]")
+{
+    ordered_start given;
+    const time_point now = given.m_pool.now();
+    worker_report report = given.report_of(given.m_listing.m_incarnation_start_ms, 1000000);
+    report.m_ended.push_back({7, given.m_order.m_task, given.m_order.m_run, run_end::done, ""});
+    apply_report(given.m_state, given.m_order.m_worker, report, now, now + milliseconds(5),
+                 unix_time_at(now));
+    mark_batch_stored(given.m_state, take_batch(given.m_state).value(), unix_time_at(now));
+    const auto acknowledged = [&] {
+        return next_hold_request(given.m_state, given.m_order.m_worker, now + milliseconds(20))
+            .value()
+            .m_acked_through;
+    };
+    CHECK(acknowledged() == 7);
+    apply_hold_failure(given.m_state, given.m_order.m_worker, order_outcome::unknown,
+                       now + milliseconds(10));
+    CHECK(acknowledged() == 0);
+    apply_report(given.m_state, given.m_order.m_worker, report, now + milliseconds(20),
+                 now + milliseconds(25), unix_time_at(now));
+    CHECK(acknowledged() == 7);
+}
+
 // Guards against starts that are lost with a worker or reach its next incarnation.
 TEST_CASE("a worker whose last hold got no answer gets no starts", "[worker_incarnation]")
 {
