Confirm a cancellation only when its own log entry is stored

Cause: calls wait under a submission's id, and the entry of the acceptance woke a cancellation whose entry was still in the next batch. Evidence: the answer came 91 ms after the call while a write took 390 ms, and no write with the cancellation had been sent.

Change: a call waits for one kind of entry, and only that kind wakes it.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -471,19 +471,12 @@
             co_return;
         }
         mark_batch_stored(m_shard, *batch, read_wall_clock());
-        const auto wake_waiters = [this](const submission_id& id) {
-            const auto [first, last] = m_waiters.equal_range(id);
-            for (auto it = first; it != last; ++it) {
-                it->second->m_stored = true;
-                it->second->m_timer->cancel();
-            }
-        };
         for (const log_entry& entry : batch->m_entries) {
             if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
-                wake_waiters(accepted->m_id);
+                wake_waiters(accepted->m_id, awaited_entry::accepted);
             }
             else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
-                wake_waiters(cancelled->m_id);
+                wake_waiters(cancelled->m_id, awaited_entry::cancelled);
             }
         }
         for (const end_position& end : batch->m_ends) {
@@ -639,11 +632,22 @@
     m_held_workers.erase(worker);
 }
 
-asio::awaitable<shard_owner::wait_result> shard_owner::wait_until_stored(submission_id id,
-                                                                         milliseconds timeout)
+void shard_owner::wake_waiters(const submission_id& id, awaited_entry entry)
+{
+    const auto [first, last] = m_waiters.equal_range(id);
+    for (auto it = first; it != last; ++it) {
+        if (it->second->m_entry == entry) {
+            it->second->m_stored = true;
+            it->second->m_timer->cancel();
+        }
+    }
+}
+
+asio::awaitable<shard_owner::wait_result>
+shard_owner::wait_until_stored(submission_id id, awaited_entry entry, milliseconds timeout)
 {
     asio::steady_timer timer(*m_dependencies.m_context, timeout);
-    waiter waiting{&timer, false, false};
+    waiter waiting{entry, &timer, false, false};
     const auto waiter_entry = m_waiters.emplace(std::move(id), &waiting);
     m_log_timer.cancel();
     error_code ignored;
@@ -688,7 +692,8 @@
         co_return reply;
     }
     const time_point started_at = read_boot_clock();
-    const wait_result result_of_wait = co_await wait_until_stored(id, caller_timeout);
+    const wait_result result_of_wait =
+        co_await wait_until_stored(id, awaited_entry::accepted, caller_timeout);
     if (result_of_wait == wait_result::withdrawn) {
         reply.m_answer = owner_answer::store_away;
         reply.m_retry_after_s = retry_after_store_s;
@@ -720,7 +725,8 @@
         reply.m_answer = owner_answer::done;
         co_return reply;
     }
-    const bool stored = co_await wait_until_stored(id, caller_timeout) == wait_result::stored;
+    const bool stored = co_await wait_until_stored(id, awaited_entry::cancelled, caller_timeout) ==
+                        wait_result::stored;
     reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
     schedule_plan();
     co_return reply;
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -94,8 +94,12 @@
 
 private:
     /// A call that waits until its log entry is durable.
+    /// Log entries of a submission that calls wait for.
+    enum class awaited_entry : std::uint8_t { accepted, cancelled };
+
     struct waiter {
         asio::steady_timer* m_timer = nullptr;
+        awaited_entry m_entry = awaited_entry::accepted;
         bool m_stored = false;
         bool m_withdrawn = false;
     };
@@ -148,8 +152,11 @@
     void request_advice();
     /// Sends a request to the advice service and applies the reply.
     asio::awaitable<void> request_advice(advice_request request);
-    /// Waits until the log entry of a submission is durable or withdrawn.
-    asio::awaitable<wait_result> wait_until_stored(submission_id id, milliseconds timeout);
+    /// Waits until a log entry of a submission is durable or withdrawn.
+    asio::awaitable<wait_result> wait_until_stored(submission_id id, awaited_entry entry,
+                                                   milliseconds timeout);
+    /// Answers the calls that wait for a log entry of a submission, which is now durable.
+    void wake_waiters(const submission_id& id, awaited_entry entry);
 
     shard_owner_dependencies m_dependencies;
     shard m_shard;
--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -56,6 +56,17 @@
             asio::detached);
     }
 
+    /// Cancels; the owner's answer is set when it comes.
+    void start_cancel(const std::string& id, std::optional<owner_answer>& answer)
+    {
+        asio::co_spawn(
+            m_context,
+            [this, id, &answer]() -> asio::awaitable<void> {
+                answer = (co_await m_owner->cancel(submission_id(id))).m_answer;
+            },
+            asio::detached);
+    }
+
     /// Submits and returns the owner's answer.
     owner_answer submit(const std::string& id)
     {
@@ -160,6 +171,28 @@
     CHECK(owned.m_owner->is_alive());
 }
 
+// Guards against a confirmed cancellation that a later owner does not know: the call was answered
+// when the submission, and not yet its cancellation, was stored.
+TEST_CASE("a cancellation is confirmed only when it is stored itself", "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(run_until(owned.m_context, [&] { return owned.m_owner->state().m_takeover_stored; }));
+    // The write of the submission takes effect long before its answer arrives.
+    owned.m_store.m_bytes_per_s = 400;
+    std::optional<owner_answer> accepted;
+    owned.start_submit("0000000000000001", accepted);
+    REQUIRE(run_until(owned.m_context,
+                      [&] { return owned.m_store.contains("l/service-a/000000000002"); }));
+    REQUIRE_FALSE(accepted);
+    std::optional<owner_answer> cancelled;
+    owned.start_cancel("0000000000000001", cancelled);
+    REQUIRE(run_until(owned.m_context, [&] { return cancelled.has_value(); }));
+    CHECK(*cancelled == owner_answer::done);
+    CHECK(owned.m_store.contains("l/service-a/000000000003"));
+    CHECK(accepted == owner_answer::done);
+}
+
 // Guards against callers that are told that their submission was not accepted although it is stored
 // and will run: the answer to its write was lost, and the store refused the attempt through a peer.
 TEST_CASE("a write whose answer was lost does not count as refused when a peer's attempt is",
