Repeat the removal of an owner record until it is gone

Cause: release() stopped the owner and removed its record once. The store refused the removal, the lease of the host kept the record alive, and hosts claim only shards without a record. Evidence: the log line of the release ends in outcome=3 (refused) and no claim follows. abandon() had the same end.

Change: both repeat the removal, with growing pauses, until it is done or conflicts.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -435,11 +435,8 @@
     log_error("shard: given up service=" + m_shard.m_service.str() +
               " token=" + std::to_string(m_shard.m_token.get()) + " reason=" + reason);
     stop();
-    // Without an owner record another host takes over; the guard keeps the record of a newer owner.
     spawn(*m_dependencies.m_context, "the removal of an owner record",
-          [self = shared_from_this()]() -> asio::awaitable<void> {
-              co_await self->remove_owner_record(false);
-          });
+          [self = shared_from_this()]() { return self->clear_owner_record(); });
 }
 
 asio::awaitable<void> shard_owner::run_plan_loop()
@@ -845,6 +842,30 @@
     }
     log_info("owner: shard released service=" + m_shard.m_service.str() +
              " outcome=" + std::to_string(static_cast<int>(outcome)));
+    if (outcome != commit_outcome::done && outcome != commit_outcome::conflict) {
+        spawn(*m_dependencies.m_context, "the removal of an owner record",
+              [self = shared_from_this()]() { return self->clear_owner_record(); });
+    }
+}
+
+asio::awaitable<void> shard_owner::clear_owner_record()
+{
+    retry_backoff pause;
+    asio::steady_timer timer(*m_dependencies.m_context);
+    while (true) {
+        const commit_outcome outcome = co_await remove_owner_record(false);
+        // After a conflict the record is gone or belongs to a newer owner.
+        if (outcome == commit_outcome::done || outcome == commit_outcome::conflict) {
+            log_info("owner: record removed service=" + m_shard.m_service.str() +
+                     " token=" + std::to_string(m_shard.m_token.get()));
+            co_return;
+        }
+        log_warning("owner: record not removed, trying again service=" + m_shard.m_service.str() +
+                    " outcome=" + std::to_string(static_cast<int>(outcome)));
+        timer.expires_after(pause.next());
+        error_code ignored;
+        co_await timer.async_wait(to_coroutine(ignored));
+    }
 }
 
 asio::awaitable<commit_outcome> shard_owner::remove_owner_record(bool with_closing_entry)
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -50,7 +50,8 @@
 
     /// Releases the shard in an orderly way: takes no more calls and reports, waits for open writes
     /// and orders, stores a closing log entry and removes the owner record. If writes or orders
-    /// stay open, it only removes the owner record.
+    /// stay open, it only removes the owner record. A removal that the store refuses is repeated
+    /// after the release has ended.
     asio::awaitable<void> release();
 
     /// Sets the queues that the operator configured.
@@ -93,13 +94,13 @@
     [[nodiscard]] const shard& state() const { return m_shard; }
 
 private:
-    /// A call that waits until its log entry is durable.
     /// Log entries of a submission that calls wait for.
     enum class awaited_entry : std::uint8_t { accepted, cancelled };
 
+    /// A call that waits until its log entry is durable.
     struct waiter {
-        asio::steady_timer* m_timer = nullptr;
         awaited_entry m_entry = awaited_entry::accepted;
+        asio::steady_timer* m_timer = nullptr;
         bool m_stored = false;
         bool m_withdrawn = false;
     };
@@ -136,6 +137,9 @@
     /// Removes the owner record, so that another host can take the shard over; with a closing log
     /// entry, both or neither.
     asio::awaitable<commit_outcome> remove_owner_record(bool with_closing_entry);
+    /// Removes the owner record, with retries until it is certainly gone. The lease of the host
+    /// would keep it otherwise, and no other host would take the shard over.
+    asio::awaitable<void> clear_owner_record();
     /// Writes a batch, with retries; false if the shard is lost or the owner was stopped.
     asio::awaitable<bool> write_batch(log_batch& batch);
     /// Withdraws the submissions accepted in entries that were surely not written.
--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -171,6 +171,22 @@
     CHECK(owned.m_owner->is_alive());
 }
 
+// Guards against a shard that no host serves any more: the removal of the owner record was refused
+// once and not repeated, and the lease of the host kept the record alive.
+TEST_CASE("an owner that gives its shard up in a store outage removes its record later",
+          "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    owned.m_store.m_refuse_removals = 3;
+    owned.m_store.put("l/service-a/000000000002", "written by another");
+    owned.m_store.put("l/service-a/000000000003", "written by another");
+    owned.submit("0000000000000002");
+    CHECK(run_until(owned.m_context, [&] { return !owned.m_store.contains(owner_key(service)); }));
+    CHECK(owned.m_store.m_refuse_removals == 0);
+}
+
 // Guards against a confirmed cancellation that a later owner does not know: the call was answered
 // when the submission, and not yet its cancellation, was stored.
 TEST_CASE("a cancellation is confirmed only when it is stored itself", "[owner_faults]")
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -289,3 +289,16 @@
     owned.release();
     CHECK(run_until(owned.m_context, [&] { return !owned.m_store.contains(owner_key(service)); }));
 }
+
+// Guards against a shard that no host serves any more: it was released while the store refused
+// calls, and the record of the stopped owner stayed for as long as its host's lease.
+TEST_CASE("a shard that is released in a store outage is given up after it", "[shard_release]")
+{
+    owned_shard owned;
+    run_until(owned.m_context, [&] { return owned.m_owner->state().m_takeover_stored; });
+    owned.m_store.m_refuse_removals = 3;
+    owned.release();
+    REQUIRE(run_until(owned.m_context, [&] { return !owned.m_owner->is_alive(); }));
+    CHECK(owned.m_store.contains(owner_key(service)));
+    CHECK(run_until(owned.m_context, [&] { return !owned.m_store.contains(owner_key(service)); }));
+}
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -198,7 +198,14 @@
                               milliseconds(to_number(query["wait-ms"])));
     }
     else if (target.starts_with("/v1/kv-txn")) {
-        status = commit(parse_json_object(request.body()).value(), body);
+        const json::object wanted = parse_json_object(request.body()).value();
+        if (m_refuse_removals > 0 && !wanted.at("remove").as_array().empty()) {
+            --m_refuse_removals;
+            status = http_status::unavailable;
+        }
+        else {
+            status = commit(wanted, body);
+        }
     }
     else if (target.starts_with("/v1/kv-lease-end") || target.starts_with("/v1/kv-keep")) {
         body["ttl-ms"] = 0;
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -34,10 +34,11 @@
     /// Number of times a record's value was sent, complete or not.
     [[nodiscard]] std::size_t copies_sent(const std::string& key) const;
 
-    std::size_t m_bytes_per_s = 0; ///< Of all answers together; zero sends without delay.
-    unsigned m_refuse_status = 0;  ///< Status that every call is refused with; zero serves calls.
-    unsigned m_lose_answers = 0;   ///< Number of commits that take effect and get no answer.
-    bool m_stall = false;          ///< Stops in the middle of answers until the caller hangs up.
+    std::size_t m_bytes_per_s = 0;  ///< Of all answers together; zero sends without delay.
+    unsigned m_refuse_status = 0;   ///< Status that every call is refused with; zero serves calls.
+    unsigned m_refuse_removals = 0; ///< Number of commits with removals that are refused.
+    unsigned m_lose_answers = 0;    ///< Number of commits that take effect and get no answer.
+    bool m_stall = false;           ///< Stops in the middle of answers until the caller hangs up.
 
 private:
     asio::awaitable<void> accept();
