Finish a gang with the end of one of its members

Cause: the end `done` of one member marked only that member's task. Another member's end was lost with its worker, its task became ready, and a gang starts only if all of its tasks are ready.

Change: members only end well together, so one end marks all of them, in memory, in the log and when an older log is replayed. The run of a member whose end is not reported yet keeps its capacity.

--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -53,6 +53,24 @@
            found.m_task->m_run == run && found.m_task->m_phase == task_phase::placed;
 }
 
+/// Detaches a task's present run, if it has one. The run is stopped, unless it is a member of the
+/// gang run that has ended and only its end has not been reported yet.
+void detach_run(shard& state, const task_name& name, const scheduled_task& task, run_number ended)
+{
+    if (task.m_phase != task_phase::placed || task.m_worker == nullptr) {
+        return;
+    }
+    run_slot* slot = find_slot(*task.m_worker, name, task.m_run);
+    if (slot == nullptr) {
+        return;
+    }
+    if (task.m_run == ended) {
+        slot->m_detached = true;
+        return;
+    }
+    stop_run(state, *task.m_worker, *slot, true);
+}
+
 /// Updates the worker's slowness and the queue's duration ratio with a run that is done. Runs that
 /// are long-running or below full pace are ignored: their times say nothing about the estimate.
 void update_duration_model(shard& state, worker_record& worker, const submission_record& record,
@@ -84,6 +102,7 @@
     slot.m_task = reported.m_task;
     slot.m_run = reported.m_run;
     slot.m_phase = run_phase::running;
+    slot.m_reported = true;
     slot.m_ordered_at = now;
     slot.m_percent = reported.m_percent;
     slot.m_progress_at = now;
@@ -102,7 +121,6 @@
         if (step.m_uses_idle_cores) {
             slot.m_reserved.m_cpu_millis = 0;
         }
-    slot.m_reported = true;
         // A blocked task counts too: the ends of its preceding steps may not have been reported
         // yet.
         is_adoptable = found.m_task->m_phase == task_phase::ready ||
@@ -139,6 +157,7 @@
         process_unknown_run(state, worker, reported, now);
         return;
     }
+    slot->m_reported = true;
     if (slot->m_phase == run_phase::ordered) {
         slot->m_phase = run_phase::running;
         slot->m_progress_at = now;
@@ -157,7 +176,6 @@
     }
     if (!reported.m_checkpoint.empty()) {
         found.m_task->m_checkpoint = reported.m_checkpoint;
-    slot->m_reported = true;
     }
     const bool at_work = reported.m_percent >= 100 && slot->m_phase == run_phase::running;
     if (slot->m_long_running && at_work != found.m_task->m_available) {
@@ -227,7 +245,7 @@
     }
     switch (end.m_outcome) {
     case run_end::done:
-        finish_task(state, *found.m_record, end.m_task, wall);
+        finish_task(state, *found.m_record, end.m_task, end.m_run, wall);
         return;
     case run_end::failed:
         record_worker_failure(state, worker, now);
@@ -328,30 +346,43 @@
     }
 }
 
-void finish_task(shard& state, submission_record& record, const task_name& name, wall_time wall)
+void mark_done(const submission_record& record, occurrence_state& occurrence, const task_name& name,
+               const std::function<void(scheduled_task& task, std::uint32_t index)>& before_each)
+{
+    std::vector<scheduled_task>& tasks = occurrence.m_steps[name.m_step];
+    const bool whole_step = record.m_definition.m_steps[name.m_step].m_gang;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        scheduled_task& task = tasks[index];
+        if ((!whole_step && index != name.m_index) || task.m_phase == task_phase::done) {
+            continue;
+        }
+        before_each(task, index);
+        set_phase(occurrence, name.m_step, task, task_phase::done);
+        task.m_worker = nullptr;
+        task.m_checkpoint.clear();
+        --occurrence.m_unfinished_tasks[name.m_step];
+    }
+}
+
+void finish_task(shard& state, submission_record& record, const task_name& name, run_number run,
+                 wall_time wall)
 {
     const found_task found = find_task(state, name);
     if (found.m_task == nullptr || found.m_task->m_phase == task_phase::done) {
         return;
     }
-    scheduled_task& task = *found.m_task;
     occurrence_state& occurrence = record.m_occurrences[name.m_occurrence];
-    if (task.m_phase == task_phase::placed && task.m_worker != nullptr) {
-        run_slot* other = find_slot(*task.m_worker, name, task.m_run);
-        if (other != nullptr) {
-            stop_run(state, *task.m_worker, *other, true);
-        }
-    }
-    const submission_step& step = record.m_definition.m_steps[name.m_step];
-    if (step.m_long_running) {
-        make_ready(state, found, task.m_not_before);
+    if (record.m_definition.m_steps[name.m_step].m_long_running) {
+        detach_run(state, name, *found.m_task, run);
+        make_ready(state, found, found.m_task->m_not_before);
         return;
     }
-    set_phase(occurrence, name.m_step, task, task_phase::done);
-    task.m_worker = nullptr;
-    task.m_checkpoint.clear();
-    --occurrence.m_unfinished_tasks[name.m_step];
-    state.m_pending.m_entries.emplace_back(log_task_ended{name, true, {}});
+    mark_done(record, occurrence, name, [&](const scheduled_task& task, std::uint32_t index) {
+        task_name member = name;
+        member.m_index = index;
+        detach_run(state, member, task, run);
+        state.m_pending.m_entries.emplace_back(log_task_ended{member, true, {}});
+    });
     state.m_ranking_stale = true;
     unblock_steps(record, occurrence);
     occurrence.m_done =
@@ -429,6 +460,12 @@
            std::chrono::duration_cast<milliseconds>(now - worker.m_clock_at).count();
 }
 
+duration longest_real_time(milliseconds by_worker_clock)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(by_worker_clock) / min_clock_rate);
+}
+
 void extend_lease(worker_record& worker, std::int64_t deadline_ms)
 {
     const time_point until =
@@ -460,12 +497,6 @@
 
 void apply_report(shard& state, const worker_id& id, const worker_report& report, time_point sent,
                   time_point now, wall_time wall)
-duration longest_real_time(milliseconds by_worker_clock)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(by_worker_clock) / min_clock_rate);
-}
-
 {
     const auto found = state.m_workers.find(id);
     if (found == state.m_workers.end()) {
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -70,11 +70,8 @@
         count_failure(*task.m_task, entry.m_run);
         return;
     }
-    if (task.m_task->m_phase != task_phase::done) {
-        set_phase(occurrence, entry.m_task.m_step, *task.m_task, task_phase::done);
-        --occurrence.m_unfinished_tasks[entry.m_task.m_step];
-        unblock_steps(record, occurrence);
-    }
+    mark_done(record, occurrence, entry.m_task, [](const scheduled_task&, std::uint32_t) {});
+    unblock_steps(record, occurrence);
 }
 
 void replay_final(shard& state, const submission_id& id, submission_state final_state,
@@ -262,6 +259,9 @@
         it = erase_run(worker, it);
     }
     state.m_awaited_workers.erase(worker.m_info.m_id);
+    worker.m_lease_ended = true;
+}
+
 void begin_incarnation(shard& state, worker_record& worker, std::int64_t start_ms, time_point now)
 {
     std::size_t kept = 0;
@@ -306,9 +306,6 @@
     }
 }
 
-    worker.m_lease_ended = true;
-}
-
 void update_worker(shard& state, const worker_listing& listing, time_point now)
 {
     if (listing.m_service != state.m_service) {
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+
 #include "schedule/shard.h"
 
 // Operations on the scheduling state that the files of the schedule package share. Internal to the
@@ -63,9 +65,15 @@
 /// Marks a run for stop orders. A detached run's task does not wait for the run's end.
 void stop_run(shard& state, worker_record& worker, run_slot& slot, bool detach);
 
-/// Marks a task as done and closes the submission if it was the last task. A long-running task
-/// becomes ready again instead.
-void finish_task(shard& state, submission_record& record, const task_name& name, wall_time wall);
+/// Marks a task as done in its occurrence. With a task of a gang all of its members are done: they
+/// only end so together, and one end stands for all.
+void mark_done(const submission_record& record, occurrence_state& occurrence, const task_name& name,
+               const std::function<void(scheduled_task& task, std::uint32_t index)>& before_each);
+
+/// Marks a task as done after the end of a run, and closes the submission if it was the last task.
+/// A long-running task becomes ready again instead.
+void finish_task(shard& state, submission_record& record, const task_name& name, run_number run,
+                 wall_time wall);
 
 /// Decides a submission's final state and stops its remaining runs.
 void close_submission(shard& state, submission_record& record, submission_state final_state,
@@ -76,6 +84,11 @@
 /// stopped.
 void end_incarnation(shard& state, worker_record& worker, time_point now, bool keep_unanswered);
 
+/// Replaces a worker's incarnation by a newer one. Runs that the worker has listed have ended. The
+/// others were ordered around the restart, so the new incarnation may have them: they keep their
+/// tasks until its first report.
+void begin_incarnation(shard& state, worker_record& worker, std::int64_t start_ms, time_point now);
+
 /// Records a failure that is attributed to a worker and quarantines it after several in a row.
 void record_worker_failure(shard& state, worker_record& worker, time_point now);
 
@@ -84,16 +97,14 @@
 
 /// Computes a submission's objective and hard deadline from its queue's contract and its
 /// estimates.
-/// Replaces a worker's incarnation by a newer one. Runs that the worker has listed have ended. The
-/// others were ordered around the restart, so the new incarnation may have them: they keep their
-/// tasks until its first report.
-void begin_incarnation(shard& state, worker_record& worker, std::int64_t start_ms, time_point now);
-
 void set_deadlines(const shard& state, submission_record& record);
 
 /// Converts a moment of the runtime's clock to the worker's clock, in milliseconds.
 std::int64_t worker_clock_ms(const worker_record& worker, time_point now);
 
+/// Longest real time that can pass while a worker's clock advances by the given time.
+duration longest_real_time(milliseconds by_worker_clock);
+
 /// Records that the worker was granted a lease up to a moment of its own clock.
 void extend_lease(worker_record& worker, std::int64_t deadline_ms);
 
@@ -102,9 +113,6 @@
 void adjust_paces(shard& state, time_point now);
 
 /// Adds a newly arrived submission to the arrival rate. Retries of a refused one must not be added
-/// Longest real time that can pass while a worker's clock advances by the given time.
-duration longest_real_time(milliseconds by_worker_clock);
-
 /// again.
 void record_arrival(shard& state, const submission& what, time_point now);
 
