--- a/tests/schedule/worker_incarnation_test.cpp
+++ b/tests/schedule/worker_incarnation_test.cpp
@@ -84,7 +84,8 @@
     pool.submit("a", make_submission({1}, small_task, milliseconds(1500)));
     virtual_worker& restarted = pool.m_workers[run_until_started(pool)];
     // The worker restarted just before it accepted the start, and its first report is late.
-    restarted.m_listing.m_incarnation_start_ms += restart_offset_ms;
+    restarted.m_incarnation_start_ms += restart_offset_ms;
+    restarted.m_listing.m_incarnation_start_ms = restarted.m_incarnation_start_ms;
     restarted.m_partitioned_owners.insert(0);
     pool.run_for(milliseconds(200));
     restarted.m_partitioned_owners.clear();
@@ -209,4 +210,65 @@
     CHECK(pool.state("a") == submission_state::succeeded);
 }
 
+// Guards against duplicate runs where workers restart under their ids while holds get no answer,
+// the store is silent and owners change: one owner started the runs of a restarted worker
+// elsewhere.
+TEST_CASE("workers that restart under their ids never run a task twice", "[worker_incarnation]")
+{
+    const std::uint64_t seed = GENERATE(range(1, 41));
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto pick = [&](int low, int high) {
+        return std::uniform_int_distribution<int>(low, high)(random);
+    };
+    virtual_pool pool(6, worker_size, seed);
+    pool.m_duration_sigma = 0.4;
+    std::vector<time_point> restart_at(pool.m_workers.size());
+    pool.run_for(milliseconds(200));
+    for (int i = 0; i < 160; ++i) {
+        pool.submit("a" + std::to_string(i),
+                    make_submission({static_cast<std::uint32_t>(pick(1, 5)),
+                                     static_cast<std::uint32_t>(pick(1, 4))},
+                                    {pick(1, 6) * 1000L, pick(1, 8) * 1000L, 0},
+                                    milliseconds(pick(100, 2500))));
+        const auto index = static_cast<std::size_t>(pick(0, 5));
+        virtual_worker& worker = pool.m_workers[index];
+        switch (pick(0, 11)) {
+        case 0:
+        case 1:
+        case 2:
+            if (worker.m_up) {
+                pool.crash_worker(index);
+                restart_at[index] = pool.now() + milliseconds(pick(1, 1500));
+            }
+            break;
+        case 3:
+            worker.m_lost_hold_share = worker.m_lost_hold_share > 0 ? 0 : 0.7;
+            break;
+        case 4:
+            pool.current_owner().m_has_store = !pool.current_owner().m_has_store;
+            break;
+        case 5:
+            pool.current_owner().m_alive = false;
+            pool.change_owner();
+            break;
+        default:
+            break;
+        }
+        const time_point until = pool.now() + milliseconds(pick(20, 250));
+        while (pool.now() < until) {
+            pool.run_for(milliseconds(1));
+            for (std::size_t k = 0; k < restart_at.size(); ++k) {
+                if (!pool.m_workers[k].m_up && pool.now() >= restart_at[k]) {
+                    pool.restart_worker(k, milliseconds(pick(0, 1) * pick(0, 900)));
+                }
+            }
+        }
+    }
+    for (const std::string& text : pool.violations()) {
+        UNSCOPED_INFO(text);
+    }
+    CHECK(pool.violations().empty());
+}
+
 } // namespace guavabay
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -14,6 +14,12 @@
 constexpr milliseconds advice_time_per_worker{10};
 constexpr std::size_t workers_per_rack = 4;
 
+/// Longest lease that a worker grants, on its own clock.
+constexpr std::int64_t max_lease_ms = 10000;
+
+/// Longer than any test, so that each incarnation of a worker starts later than the one before.
+constexpr std::int64_t incarnation_distance_ms = 1000000;
+
 wall_time wall_at(time_point now)
 {
     return wall_time(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) +
@@ -38,7 +44,8 @@
         worker.m_listing.m_rack = rack_id("r" + std::to_string(i / workers_per_rack));
         worker.m_listing.m_labels = {"a", worker.m_listing.m_rack.str()};
         worker.m_listing.m_capacity = each;
-        worker.m_listing.m_incarnation_start_ms = static_cast<std::int64_t>(1000 + i);
+        worker.m_incarnation_start_ms = static_cast<std::int64_t>(1000 + i);
+        worker.m_listing.m_incarnation_start_ms = worker.m_incarnation_start_ms;
         m_workers.push_back(std::move(worker));
     }
     change_owner();
@@ -64,7 +71,7 @@
 
 std::int64_t virtual_pool::clock_of(const virtual_worker& worker) const
 {
-    const double since = to_milliseconds(m_now.time_since_epoch());
+    const double since = to_milliseconds(m_now - worker.m_clock_zero);
     return static_cast<std::int64_t>(since * worker.m_clock_speed);
 }
 
@@ -146,6 +153,37 @@
     ++m_starts[to_string(order.m_task)];
 }
 
+void virtual_pool::extend_lease(virtual_worker& worker, std::int64_t deadline_ms) const
+{
+    const std::int64_t granted_ms = std::min(deadline_ms - clock_of(worker), max_lease_ms);
+    const double left = static_cast<double>(granted_ms) / worker.m_clock_speed;
+    worker.m_lease_until =
+        std::max(worker.m_lease_until, m_now + milliseconds(static_cast<std::int64_t>(left)));
+}
+
+void virtual_pool::crash_worker(std::size_t index)
+{
+    virtual_worker& worker = m_workers[index];
+    worker.m_up = false;
+    worker.m_refuses_connections = true;
+    worker.m_runs.clear();
+    worker.m_ends.clear();
+    worker.m_newest_finished.clear();
+    worker.m_next_end = 1;
+    worker.m_token = 0;
+    worker.m_lease_until = {};
+}
+
+void virtual_pool::restart_worker(std::size_t index, milliseconds registration_delay)
+{
+    virtual_worker& worker = m_workers[index];
+    worker.m_up = true;
+    worker.m_refuses_connections = false;
+    worker.m_incarnation_start_ms += incarnation_distance_ms;
+    worker.m_clock_zero = m_now;
+    worker.m_registers_at = m_now + registration_delay;
+}
+
 order_outcome virtual_pool::carry_out(std::size_t index, const worker_order& order,
                                       std::int64_t token)
 {
@@ -173,10 +211,7 @@
         if (order.m_deadline_ms <= clock_of(worker)) {
             return order_outcome::refused_lease_ended;
         }
-        const double left =
-            static_cast<double>(order.m_deadline_ms - clock_of(worker)) / worker.m_clock_speed;
-        worker.m_lease_until =
-            std::max(worker.m_lease_until, m_now + milliseconds(static_cast<std::int64_t>(left)));
+        extend_lease(worker, order.m_deadline_ms);
         start_run(index, order);
         return order_outcome::accepted;
     }
@@ -244,7 +279,10 @@
 {
     virtual_owner& owner = *m_owners[index];
     std::vector<worker_listing> listings;
-    for (const virtual_worker& worker : m_workers) {
+    for (virtual_worker& worker : m_workers) {
+        if (m_now >= worker.m_registers_at) {
+            worker.m_listing.m_incarnation_start_ms = worker.m_incarnation_start_ms;
+        }
         if (worker.m_listed) {
             listings.push_back(worker.m_listing);
         }
@@ -259,7 +297,9 @@
         if (!request) {
             continue;
         }
-        if (!worker.m_up || worker.m_partitioned_owners.contains(index)) {
+        std::uniform_real_distribution<double> chance(0, 1);
+        if (!worker.m_up || worker.m_partitioned_owners.contains(index) ||
+            (worker.m_lost_hold_share > 0 && chance(m_random) < worker.m_lost_hold_share)) {
             apply_hold_failure(owner.m_shard, id, order_outcome::unknown, m_now);
             continue;
         }
@@ -270,10 +310,7 @@
         }
         worker.m_token = token;
         if (request->m_deadline_ms) {
-            const double left = static_cast<double>(*request->m_deadline_ms - clock_of(worker)) /
-                                worker.m_clock_speed;
-            worker.m_lease_until = std::max(worker.m_lease_until,
-                                            m_now + milliseconds(static_cast<std::int64_t>(left)));
+            extend_lease(worker, *request->m_deadline_ms);
         }
         std::erase_if(worker.m_ends, [&](const reported_end& end) {
             if (end.m_number > request->m_acked_through) {
@@ -287,7 +324,7 @@
         });
         worker_report report;
         report.m_clock_ms = clock_of(worker);
-        report.m_incarnation_start_ms = worker.m_listing.m_incarnation_start_ms;
+        report.m_incarnation_start_ms = worker.m_incarnation_start_ms;
         report.m_ended = worker.m_ends;
         for (const auto& [key, run] : worker.m_runs) {
             const bool lasting = run.m_total_ms < 0;
@@ -342,7 +379,8 @@
         order_outcome outcome = order_outcome::unknown;
         std::uniform_real_distribution<double> chance(0, 1);
         if (!found->m_up || found->m_partitioned_owners.contains(index)) {
-            outcome = order_outcome::unknown;
+            outcome =
+                found->m_refuses_connections ? order_outcome::not_sent : order_outcome::unknown;
         }
         else if (chance(m_random) < found->m_delayed_share) {
             std::uniform_int_distribution<std::int64_t> delay(2000, 12000);
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -29,7 +29,12 @@
     std::int64_t m_token = 0;
     time_point m_lease_until{};
     std::map<task_name, run_number> m_newest_finished; ///< Runs up to this are refused.
+    std::int64_t m_incarnation_start_ms = 0; ///< As it reports; its listing may lag behind.
+    time_point m_clock_zero{};               ///< When its clock showed zero.
+    time_point m_registers_at{};             ///< When its listing names its incarnation.
     bool m_up = true;
+    bool m_refuses_connections = false; ///< While it is not up: calls fail before they are sent.
+    double m_lost_hold_share = 0;       ///< Share of holds without an answer.
     bool m_listed = true;
     double m_speed = 1;
     double m_clock_speed = 1;   ///< Speed of its clock; the platform allows 0.98 to 1.
@@ -84,6 +89,13 @@
     /// The state that the current owner reports for a submission.
     std::optional<submission_state> state(const std::string& id);
 
+    /// Ends a worker's process with all its runs and reports.
+    void crash_worker(std::size_t worker);
+
+    /// Starts a crashed worker again under its id, as a new incarnation that registers after a
+    /// delay.
+    void restart_worker(std::size_t worker, milliseconds registration_delay);
+
     /// Writes the current owner's pending entries and its release entry to the log, and ends it.
     void release();
 
@@ -114,6 +126,7 @@
     void check_start(std::size_t worker, const worker_order& order);
 
 private:
+    void extend_lease(virtual_worker& worker, std::int64_t deadline_ms) const;
     order_outcome carry_out(std::size_t worker, const worker_order& order, std::int64_t token);
     void start_run(std::size_t worker, const worker_order& order);
     void end_run(virtual_worker& worker, const std::pair<task_name, run_number>& run, run_end how);
