Treat scheduled work of former owners as inherited

Cause: a new owner marked the tasks that it had read from the log as possibly started by a former owner. The tasks of an occurrence without a logged end were created after that and counted as new. For the same reason a reported run of such an occurrence was stopped, and a reported end was acknowledged without effect.

Change: a submission that was read from the log is inherited as a whole, whenever its tasks are created. Reports of runs and ends create the occurrence that they name; its other tasks start only when it is due by the owner's own clock. m_unavailable_since, which nothing read, is removed. The virtual pool knows times of scheduled work, clocks that are wrong, and gangs.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -388,6 +388,7 @@
              " records=" + std::to_string(items.size()) +
              " submissions=" + std::to_string(m_shard.m_submissions.size()) +
              " open=" + std::to_string(m_shard.m_open_submissions.size()) +
+             " awaited_workers=" + std::to_string(m_shard.m_awaited_workers.size()) +
              " token=" + std::to_string(m_shard.m_token.get()));
     co_return true;
 }
@@ -825,7 +826,8 @@
     log_info("owner: releasing shard service=" + m_shard.m_service.str() + " waited_ms=" +
              std::to_string(std::chrono::duration_cast<milliseconds>(waited).count()) + " orders=" +
              std::to_string(m_orders_in_flight) + " writing=" + (m_writing ? "yes" : "no") +
-             " pending=" + std::to_string(m_shard.m_pending.m_entries.size()));
+             " pending=" + std::to_string(m_shard.m_pending.m_entries.size()) +
+             " busy_workers=" + std::to_string(make_release_entry(m_shard).m_busy_workers.size()));
     if (m_stopped) {
         co_return;
     }
--- a/src/schedule/advice.cpp
+++ b/src/schedule/advice.cpp
@@ -116,7 +116,7 @@
                      ++step_index) {
                     const submission_step& step = record->m_definition.m_steps[step_index];
                     const std::size_t tasks = count_waiting_tasks(occurrence.m_steps[step_index]);
-                    if (!occurrence.m_created || tasks == 0 ||
+                    if (!occurrence.m_due || tasks == 0 ||
                         !can_start_soon(step, occurrence, ready_only)) {
                         continue;
                     }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -84,11 +84,12 @@
 
 /// True when a task is ready, its retry delay has passed, and no worker of a former owner may still
 /// run it.
-bool is_startable(const shard& state, const scheduled_task& task, time_point now)
+bool is_startable(const shard& state, const submission_record& record, const scheduled_task& task,
+                  time_point now)
 {
     const bool awaited = !state.m_awaited_workers.empty() && now < state.m_awaited_until;
     return task.m_phase == task_phase::ready && task.m_not_before <= now &&
-           !(task.m_inherited && awaited);
+           !(record.m_inherited && awaited);
 }
 
 /// True when all tasks of the preceding steps are done.
@@ -105,8 +106,9 @@
 {
     std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
     const submission_step& step = record.m_definition.m_steps[step_index];
-    if (!std::all_of(tasks.begin(), tasks.end(),
-                     [&](const scheduled_task& task) { return is_startable(state, task, now); })) {
+    if (!std::all_of(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
+            return is_startable(state, record, task, now);
+        })) {
         return;
     }
     std::vector<std::string> candidate_racks{""};
@@ -163,7 +165,7 @@
         for (std::uint32_t occurrence_index = 0; occurrence_index < record->m_occurrences.size();
              ++occurrence_index) {
             occurrence_state& occurrence = record->m_occurrences[occurrence_index];
-            if (!occurrence.m_created || occurrence.m_done) {
+            if (!occurrence.m_due || occurrence.m_done) {
                 continue;
             }
             for (std::uint32_t step_index = 0; step_index < occurrence.m_steps.size();
@@ -179,7 +181,7 @@
                 for (std::uint32_t i = 0; i < occurrence.m_steps[step_index].size(); ++i) {
                     scheduled_task& task = occurrence.m_steps[step_index][i];
                     ++state.m_tasks_examined;
-                    if (!is_startable(state, task, now)) {
+                    if (!is_startable(state, *record, task, now)) {
                         continue;
                     }
                     placement_request request = make_placement_request(
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -130,11 +130,14 @@
         bool any = false;
         for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
             occurrence_state& occurrence = record->m_occurrences[k];
-            if (!occurrence.m_created) {
+            if (!occurrence.m_due) {
                 if (due_ms(record->m_definition, k) > unix_ms(wall)) {
                     continue;
                 }
-                create_occurrence(*record, k);
+                occurrence.m_due = true;
+                if (!occurrence.m_created) {
+                    create_occurrence(*record, k);
+                }
             }
             if (occurrence.m_done) {
                 continue;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -106,7 +106,7 @@
     slot.m_ordered_at = now;
     slot.m_percent = reported.m_percent;
     slot.m_progress_at = now;
-    const found_task found = find_task(state, reported.m_task);
+    const found_task found = find_or_create_task(state, reported.m_task);
     bool is_adoptable = false;
     slot.m_unknown_demand = found.m_task == nullptr;
     if (found.m_task != nullptr) {
@@ -142,7 +142,7 @@
     task.m_checkpoint = reported.m_checkpoint;
     task.m_available = reported.m_percent >= 100;
     found.m_record->m_started = true;
-    if (!task.m_inherited) {
+    if (!found.m_record->m_inherited) {
         stop_run(state, worker, added, false);
     }
 }
@@ -180,7 +180,6 @@
     const bool at_work = reported.m_percent >= 100 && slot->m_phase == run_phase::running;
     if (slot->m_long_running && at_work != found.m_task->m_available) {
         found.m_task->m_available = at_work;
-        found.m_task->m_unavailable_since = now;
         found.m_task->m_moved_by_scheduler = found.m_task->m_moved_by_scheduler && !at_work;
     }
 }
@@ -215,7 +214,7 @@
 void process_end(shard& state, worker_record& worker, const reported_end& end, time_point now,
                  wall_time wall)
 {
-    const found_task found = find_task(state, end.m_task);
+    const found_task found = find_or_create_task(state, end.m_task);
     run_slot* slot = find_slot(worker, end.m_task, end.m_run);
     const bool current = is_current(worker, found, end.m_run);
     if (end.m_outcome == run_end::done) {
@@ -295,9 +294,6 @@
     set_phase(*found.m_occurrence, found.m_step, task, task_phase::ready);
     task.m_worker = nullptr;
     task.m_not_before = not_before;
-    if (task.m_available) {
-        task.m_unavailable_since = not_before;
-    }
     task.m_available = false;
     state.m_ranking_stale = true;
 }
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -39,6 +39,7 @@
         now -
         milliseconds(std::clamp<std::int64_t>(unix_ms(wall) - entry.m_accepted_ms, 0, 600000));
     record->m_accept_stored = true;
+    record->m_inherited = true;
     record->m_occurrences.resize(occurrence_count(record->m_definition));
     if (record->m_definition.m_repeat_count == 0) {
         create_occurrence(*record, 0);
@@ -49,22 +50,12 @@
 
 void replay_task_end(shard& state, const log_task_ended& entry)
 {
-    const auto found = state.m_submissions.find(entry.m_task.m_submission);
-    if (found == state.m_submissions.end() || found->second->m_final_decided) {
-        return;
-    }
-    submission_record& record = *found->second;
-    if (entry.m_task.m_occurrence >= record.m_occurrences.size()) {
-        return;
-    }
-    occurrence_state& occurrence = record.m_occurrences[entry.m_task.m_occurrence];
-    if (!occurrence.m_created) {
-        create_occurrence(record, entry.m_task.m_occurrence);
-    }
-    const found_task task = find_task(state, entry.m_task);
+    const found_task task = find_or_create_task(state, entry.m_task);
     if (task.m_task == nullptr) {
         return;
     }
+    submission_record& record = *task.m_record;
+    occurrence_state& occurrence = *task.m_occurrence;
     record.m_started = true;
     if (!entry.m_done) {
         count_failure(*task.m_task, entry.m_run);
@@ -113,6 +104,19 @@
     return {&record, &occurrence, name.m_step, &occurrence.m_steps[name.m_step][name.m_index]};
 }
 
+found_task find_or_create_task(shard& state, const task_name& name)
+{
+    const auto found = state.m_submissions.find(name.m_submission);
+    if (found != state.m_submissions.end()) {
+        submission_record& record = *found->second;
+        if (record.m_inherited && name.m_occurrence < record.m_occurrences.size() &&
+            !record.m_occurrences[name.m_occurrence].m_created) {
+            create_occurrence(record, name.m_occurrence);
+        }
+    }
+    return find_task(state, name);
+}
+
 void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
                task_phase phase)
 {
@@ -227,14 +231,6 @@
                             longest_real_time(state.m_bounds.m_worker_lease);
     for (submission_record* record : state.m_open_submissions) {
         set_deadlines(state, *record);
-        for (occurrence_state& occurrence : record->m_occurrences) {
-            for (std::vector<scheduled_task>& step : occurrence.m_steps) {
-                for (scheduled_task& task : step) {
-                    task.m_inherited = true;
-                    task.m_unavailable_since = now;
-                }
-            }
-        }
     }
 }
 
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -58,22 +58,20 @@
 /// One task of one occurrence.
 struct scheduled_task {
     task_phase m_phase = task_phase::blocked;
-    bool m_inherited = false; ///< A former owner may have started it on a worker that has not
-                              ///< reported to this owner yet.
     std::vector<run_number> m_failed_runs; ///< Each counts as one attempt.
     worker_record* m_worker = nullptr;     ///< The worker it is placed on; null otherwise.
     run_number m_run;
     std::string m_checkpoint;
     worker_id m_failed_on;             ///< Worker of the last failure.
     time_point m_not_before{};         ///< Earliest next start; spaces retries.
-    time_point m_unavailable_since{};  ///< Start of a long-running task's outage.
     bool m_available = false;          ///< Long-running tasks: it reported 100 percent.
     bool m_moved_by_scheduler = false; ///< Unavailable because the scheduler ordered a move.
 };
 
 /// One repetition of all steps of a submission.
 struct occurrence_state {
-    bool m_created = false;
+    bool m_created = false; ///< Its tasks exist: it is due, or a former owner has started it.
+    bool m_due = false;     ///< Its time has come by this owner's clock, so its tasks may start.
     bool m_done = false;
     std::vector<std::vector<scheduled_task>> m_steps;
     std::vector<std::uint32_t> m_unfinished_tasks; ///< Per step: tasks that are not done.
@@ -99,6 +97,9 @@
     time_point m_hard_deadline{}; ///< A later finish earns nothing.
     bool m_accept_stored = false;
     bool m_cancel_requested = false;
+    /// It was read from the log, so that a former owner may have started any of its tasks on a
+    /// worker that has not reported to this owner yet.
+    bool m_inherited = false;
     bool m_started = false; ///< At least one task was started.
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
@@ -296,8 +297,7 @@
 /// the Unix time.
 void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall);
 
-/// Completes the replay. Marks all open tasks as possibly started by a former owner, and queues a
-/// log entry for the takeover.
+/// Completes the replay and queues a log entry for the takeover.
 void finish_replay(shard& state, time_point now);
 
 /// Adds or updates the queues that belong to the shard's service; ignores all others.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -20,6 +20,10 @@
 /// decided.
 found_task find_task(shard& state, const task_name& name);
 
+/// Finds a task that a former owner may have started. Unlike find_task() it creates the tasks of an
+/// inherited submission's occurrence that this owner has not reached yet.
+found_task find_or_create_task(shard& state, const task_name& name);
+
 /// Moves a task of a step to another phase and keeps the step's count of ready tasks.
 void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
                task_phase phase);
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -10,10 +10,14 @@
 constexpr milliseconds hold_interval{40};
 constexpr milliseconds write_interval{20};
 constexpr milliseconds stop_time{150};
+constexpr milliseconds gang_wait{3000};
 constexpr milliseconds advice_base_time{40};
 constexpr milliseconds advice_time_per_worker{10};
 constexpr std::size_t workers_per_rack = 4;
 
+/// How early a task of a repeated submission may start, as the platform allows it.
+constexpr std::int64_t early_start_tolerance_ms = 250;
+
 /// Longest lease that a worker grants, on its own clock.
 constexpr std::int64_t max_lease_ms = 10000;
 
@@ -69,6 +73,11 @@
     return m_owners.size() - 1;
 }
 
+wall_time virtual_pool::wall() const
+{
+    return wall_at(m_now);
+}
+
 std::int64_t virtual_pool::clock_of(const virtual_worker& worker) const
 {
     const double since = to_milliseconds(m_now - worker.m_clock_zero);
@@ -87,7 +96,14 @@
     if (m_cancelled.contains(order.m_task.m_submission.str())) {
         m_violations.push_back("UNASKED after cancel " + text);
     }
-    const submission_step& step_definition = submitted->second.m_steps[order.m_task.m_step];
+    const submission& definition = submitted->second;
+    const std::int64_t due_ms =
+        definition.m_first_start_ms + order.m_task.m_occurrence * definition.m_interval_ms;
+    if (definition.m_repeat_count > 0 &&
+        wall_at(m_now).time_since_epoch().count() < due_ms - early_start_tolerance_ms) {
+        m_violations.push_back("ORDER before its time " + text);
+    }
+    const submission_step& step_definition = definition.m_steps[order.m_task.m_step];
     for (const virtual_worker& other : m_workers) {
         for (const auto& [run, state] : other.m_runs) {
             if (other.m_up && run.first == order.m_task) {
@@ -149,6 +165,10 @@
     std::uniform_real_distribution<double> chance(0, 1);
     run.m_fails = chance(m_random) < worker.m_failing_share ||
                   m_always_failing.contains(order.m_task.m_submission.str());
+    if (virtual_gang* gang = find_gang({order.m_task, order.m_run})) {
+        gang->m_total_ms = gang->m_total_ms > 0 ? gang->m_total_ms : run.m_total_ms;
+        run.m_total_ms = gang->m_total_ms;
+    }
     worker.m_runs[{order.m_task, order.m_run}] = run;
     ++m_starts[to_string(order.m_task)];
 }
@@ -228,6 +248,31 @@
     return order_outcome::accepted;
 }
 
+virtual_gang* virtual_pool::find_gang(const std::pair<task_name, run_number>& run)
+{
+    const auto submitted = m_submitted.find(run.first.m_submission.str());
+    if (submitted == m_submitted.end() || !submitted->second.m_steps[run.first.m_step].m_gang) {
+        return nullptr;
+    }
+    std::pair<task_name, run_number> key = run;
+    key.first.m_index = 0;
+    return &m_gangs[key];
+}
+
+void virtual_pool::complete_gangs()
+{
+    std::map<virtual_gang*, std::uint32_t> members;
+    for (const virtual_worker& worker : m_workers) {
+        for (const auto& [key, run] : worker.m_runs) {
+            virtual_gang* gang = find_gang(key);
+            const auto& steps = m_submitted.at(key.first.m_submission.str()).m_steps;
+            if (gang != nullptr && ++members[gang] == steps[key.first.m_step].m_task_count) {
+                gang->m_complete = true;
+            }
+        }
+    }
+}
+
 void virtual_pool::end_run(virtual_worker& worker, const std::pair<task_name, run_number>& run,
                            run_end how)
 {
@@ -238,18 +283,30 @@
     if (how == run_end::done) {
         m_done.insert(run.first);
     }
+    else if (virtual_gang* gang = find_gang(run)) {
+        gang->m_broken = true;
+    }
 }
 
 void virtual_pool::advance_workers()
 {
+    complete_gangs();
     for (virtual_worker& worker : m_workers) {
         if (!worker.m_up) {
             continue;
         }
         std::vector<std::pair<std::pair<task_name, run_number>, run_end>> ends;
         for (auto& [key, run] : worker.m_runs) {
-            run.m_done_ms += worker.m_speed * to_milliseconds(time_step);
-            if (m_now > worker.m_lease_until) {
+            const virtual_gang* gang = find_gang(key);
+            const bool works = gang == nullptr || gang->m_complete;
+            run.m_done_ms += works ? worker.m_speed * to_milliseconds(time_step) : 0;
+            if (gang != nullptr && gang->m_broken) {
+                ends.emplace_back(key, run_end::gang_broken);
+            }
+            else if (!works && m_now - run.m_started > gang_wait) {
+                ends.emplace_back(key, run_end::gang_incomplete);
+            }
+            else if (m_now > worker.m_lease_until) {
                 ends.emplace_back(key, run_end::lease_ended);
             }
             else if (run.m_stop_at != time_point{} && m_now >= run.m_stop_at) {
@@ -333,7 +390,8 @@
                         : 100 * run.m_done_ms / std::max(1.0, run.m_total_ms));
             report.m_running.push_back({key.first, key.second, "", percent, 0});
         }
-        apply_report(owner.m_shard, id, report, m_now - time_step, m_now, wall_at(m_now));
+        apply_report(owner.m_shard, id, report, m_now - time_step, m_now,
+                     wall_at(m_now) + owner.m_time_of_day_error);
     }
 }
 
@@ -367,7 +425,8 @@
     virtual_owner& owner = *m_owners[index];
     owner.m_shard.m_may_start = owner.m_has_store;
     owner.m_shard.m_may_hold = true;
-    plan(owner.m_shard, m_now, wall_at(m_now));
+    const wall_time wall = wall_at(m_now) + owner.m_time_of_day_error;
+    plan(owner.m_shard, m_now, wall);
     std::vector<worker_order> orders;
     orders.swap(owner.m_shard.m_orders);
     for (const worker_order& order : orders) {
@@ -390,7 +449,7 @@
         else {
             outcome = carry_out(worker, order, owner.m_shard.m_token.get());
         }
-        apply_order_answer(owner.m_shard, order, outcome, m_now, wall_at(m_now));
+        apply_order_answer(owner.m_shard, order, outcome, m_now, wall);
     }
 }
 
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -44,6 +44,13 @@
     std::set<std::size_t> m_partitioned_owners; ///< Owners (by index) that cannot reach it.
 };
 
+/// A run of a gang: its members make progress only together and end together.
+struct virtual_gang {
+    double m_total_ms = 0;   ///< Run time of each member at full speed.
+    bool m_complete = false; ///< All members have started.
+    bool m_broken = false;   ///< A member has ended without success.
+};
+
 /// An order in transit that the worker executes at a later moment.
 struct delayed_order {
     time_point m_at{};
@@ -58,6 +65,7 @@
     bool m_alive = true;
     bool m_has_store = true;
     bool m_refused = false; ///< One of its writes was rejected because of a newer owner.
+    milliseconds m_time_of_day_error{0}; ///< Its time of day minus the true one.
     time_point m_next_write{};
     time_point m_next_hold{};
     std::optional<advice_request> m_advice_request; ///< In flight.
@@ -80,6 +88,9 @@
     /// Advances time in steps of one millisecond.
     void run_for(milliseconds length);
 
+    /// The Unix time at the current virtual time.
+    [[nodiscard]] wall_time wall() const;
+
     /// Submits to the current owner.
     admission_result submit(const std::string& id, submission what);
 
@@ -130,6 +141,8 @@
     order_outcome carry_out(std::size_t worker, const worker_order& order, std::int64_t token);
     void start_run(std::size_t worker, const worker_order& order);
     void end_run(virtual_worker& worker, const std::pair<task_name, run_number>& run, run_end how);
+    [[nodiscard]] virtual_gang* find_gang(const std::pair<task_name, run_number>& run);
+    void complete_gangs();
     void advance_workers();
     void hold(std::size_t owner);
     void write(std::size_t owner);
@@ -140,6 +153,7 @@
     time_point m_now{seconds(1000)};
     std::mt19937_64 m_random;
     std::vector<delayed_order> m_delayed_orders;
+    std::map<std::pair<task_name, run_number>, virtual_gang> m_gangs; ///< By the first member.
     std::vector<std::string> m_violations;
     std::map<std::string, submission> m_submitted;
     std::map<std::string, time_point> m_tickets; ///< Expiry of each ticket.
