Keep the contract of a queue in the log of its shard

Cause: a new owner knew contracts from the configuration alone and applied a default one with a single attempt. The former owner kept the contract in memory, so without a change of owner the rule held.

Change: log_queue_contract, written before a queue's first submission, when its contract changes, and when an owner loads a log without it.

--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -87,6 +87,9 @@
     for (const queue_contract& queue : queues) {
         if (queue.m_service == state.m_service) {
             state.m_queues[queue.m_queue] = queue;
+            if (state.m_logged_contracts.contains(queue.m_queue)) {
+                log_contract(state, queue.m_queue);
+            }
         }
     }
     state.m_ranking_stale = true;
@@ -151,6 +154,7 @@
     if (record->m_definition.m_repeat_count == 0) {
         create_occurrence(*record, 0);
     }
+    log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
         log_accepted{id, queue, record->m_accepted_ms, record->m_definition});
     state.m_open_submissions.insert(record.get());
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -14,7 +14,7 @@
 /// Minimum time for which a worker that left the platform's list is kept and gets holds.
 constexpr seconds unlisted_grace{3};
 
-/// Contract of submissions whose queue is no longer in the configuration.
+/// Contract of submissions whose queue is neither in the configuration nor in the log.
 const queue_contract default_contract{};
 
 worker_record& add_worker(shard& state, const worker_listing& listing)
@@ -127,8 +127,26 @@
 
 const queue_contract& contract_of(const shard& state, const submission_record& record)
 {
-    const auto found = state.m_queues.find(record.m_queue);
-    return found == state.m_queues.end() ? default_contract : found->second;
+    const auto configured = state.m_queues.find(record.m_queue);
+    if (configured != state.m_queues.end()) {
+        return configured->second;
+    }
+    const auto logged = state.m_logged_contracts.find(record.m_queue);
+    return logged == state.m_logged_contracts.end() ? default_contract : logged->second;
+}
+
+void log_contract(shard& state, const queue_id& queue)
+{
+    const auto configured = state.m_queues.find(queue);
+    if (configured == state.m_queues.end()) {
+        return;
+    }
+    const auto logged = state.m_logged_contracts.find(queue);
+    if (logged != state.m_logged_contracts.end() && logged->second == configured->second) {
+        return;
+    }
+    state.m_logged_contracts[queue] = configured->second;
+    state.m_pending.m_entries.emplace_back(log_queue_contract{configured->second});
 }
 
 milliseconds expected_time(const shard& state, const submission_record& record,
@@ -221,6 +239,9 @@
             state.m_awaited_workers.insert(id);
         }
     }
+    else if (const auto* contract = std::get_if<log_queue_contract>(&entry)) {
+        state.m_logged_contracts[contract->m_contract.m_queue] = contract->m_contract;
+    }
 }
 
 void finish_replay(shard& state, time_point now, wall_time wall)
@@ -232,6 +253,7 @@
     std::vector<submission_record*> finished;
     for (submission_record* record : state.m_open_submissions) {
         set_deadlines(state, *record);
+        log_contract(state, record->m_queue);
         if (is_done(*record)) {
             finished.push_back(record);
         }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -12,6 +12,7 @@
 
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
+#include "submission/queue_contract.h"
 #include "submission/submission.h"
 #include "submission/submission_log.h"
 #include "worker/worker.h"
@@ -19,20 +20,6 @@
 
 namespace guavabay {
 
-/// Scheduling parameters of one queue, from the operator's configuration.
-struct queue_contract {
-    queue_id m_queue;
-    service_id m_service;
-    std::int32_t m_priority = 0;       ///< Zero is the highest priority.
-    std::int32_t m_max_attempts = 1;   ///< This many failed runs of a task fail its submission.
-    double m_stretch_factor = 1;       ///< Multiplies the critical path to give the objective.
-    milliseconds m_target{0};          ///< Added to the product.
-    bool m_needs_advice = false;       ///< Each start needs a ticket of the advice service.
-    milliseconds m_advice_validity{0}; ///< Validity of a ticket whose answer states none.
-
-    bool operator==(const queue_contract&) const = default;
-};
-
 /// Time limits and factors of the installation that scheduling decisions respect.
 struct schedule_bounds {
     milliseconds m_worker_lease{3000};          ///< Lease granted with each hold; shorter than the
@@ -249,7 +236,9 @@
     service_id m_service;
     fencing_token m_token;
     schedule_bounds m_bounds;
-    std::map<queue_id, queue_contract> m_queues;
+    std::map<queue_id, queue_contract> m_queues; ///< From the configuration.
+    /// From the log; they apply to submissions whose queue the configuration no longer has.
+    std::map<queue_id, queue_contract> m_logged_contracts;
 
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -28,10 +28,12 @@
 void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
                task_phase phase);
 
-/// The contract of a submission's queue, or a default one if the configuration no longer has the
-/// queue.
+/// The contract of a submission's queue: of the configuration, else of the log, else a default one.
 const queue_contract& contract_of(const shard& state, const submission_record& record);
 
+/// Adds the contract of a configured queue to the log, unless the log has the same one.
+void log_contract(shard& state, const queue_id& queue);
+
 /// Expected run time of a step's task on a healthy worker near its data: the estimate times the
 /// learned ratio of the queue.
 milliseconds expected_time(const shard& state, const submission_record& record,
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -131,6 +131,18 @@
     archive(value.m_token);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, log_queue_contract& value)
+{
+    queue_contract& contract = value.m_contract;
+    std::int64_t target_ms = contract.m_target.count();
+    std::int64_t validity_ms = contract.m_advice_validity.count();
+    archive(contract.m_queue, contract.m_service, contract.m_priority, contract.m_max_attempts,
+            contract.m_stretch_factor, target_ms, contract.m_needs_advice, validity_ms);
+    contract.m_target = milliseconds(target_ms);
+    contract.m_advice_validity = milliseconds(validity_ms);
+}
+
 std::string encode_log(const std::vector<log_entry>& entries)
 {
     return encode_value(entries);
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "submission/queue_contract.h"
 #include "submission/submission.h"
 
 namespace guavabay {
@@ -67,10 +68,16 @@
     std::vector<worker_id> m_busy_workers;
 };
 
+/// Log entry: the contract of a queue that has submissions. It applies to them also when the
+/// configuration no longer has the queue.
+struct log_queue_contract {
+    queue_contract m_contract;
+};
+
 /// One entry of a shard's log. The encoding stores the index of the alternative: append new ones.
-using log_entry =
-    std::variant<log_accepted, log_cancelled, log_task_ended, log_closed, log_purged,
-                 log_worker_used, log_worker_gone, log_ownership_released, log_ownership_taken>;
+using log_entry = std::variant<log_accepted, log_cancelled, log_task_ended, log_closed, log_purged,
+                               log_worker_used, log_worker_gone, log_ownership_released,
+                               log_ownership_taken, log_queue_contract>;
 
 /// Encodes the entries that are written to the store in one record.
 std::string encode_log(const std::vector<log_entry>& entries);
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -148,17 +148,29 @@
     what.m_steps.resize(2);
     what.m_steps[1].m_after = {0};
     what.m_steps[1].m_estimate = std::chrono::milliseconds(700);
+    queue_contract contract;
+    contract.m_queue = queue_id("q");
+    contract.m_service = service_id("s");
+    contract.m_priority = 1;
+    contract.m_max_attempts = 3;
+    contract.m_stretch_factor = 1.6;
+    contract.m_target = std::chrono::milliseconds(600);
+    contract.m_needs_advice = true;
+    contract.m_advice_validity = std::chrono::milliseconds(900);
     const std::vector<log_entry> entries{
         log_accepted{submission_id("a"), queue_id("q"), 5, what},
         log_task_ended{{submission_id("a"), 0, 1, 2}, true, run_number(7)},
         log_closed{submission_id("a"), submission_state::failed, 9},
-        log_ownership_released{{worker_id("w")}}, log_ownership_taken{3}};
+        log_ownership_released{{worker_id("w")}},
+        log_ownership_taken{3},
+        log_queue_contract{contract}};
     const auto read = decode_log(encode_log(entries));
     REQUIRE(read.has_value());
     REQUIRE(read->size() == entries.size());
     CHECK((std::get<log_accepted>(read->at(0)).m_submission == what));
     CHECK(std::get<log_task_ended>(read->at(1)).m_task.m_index == 2);
     CHECK(std::get<log_task_ended>(read->at(1)).m_run == run_number(7));
+    CHECK((std::get<log_queue_contract>(read->at(5)).m_contract == contract));
     CHECK_FALSE(decode_log("").has_value());
     CHECK_FALSE(decode_log("\x09xyz").has_value());
     CHECK((decode_submission_bytes(encode_submission(what)) == what));
--- a/tests/schedule/inherited_work_test.cpp
+++ b/tests/schedule/inherited_work_test.cpp
@@ -192,6 +192,55 @@
     CHECK(pool.m_starts["a.0.0.0"] == 1);
 }
 
+// Guards against lost work: a new owner that read the log while the route of the queue was dropped
+// failed the submission after its first failed run instead of after the attempts of its contract.
+TEST_CASE("a submission keeps its attempts when its route is dropped and its owner changes",
+          "[inherited_work]")
+{
+    const owner_change how = GENERATE(owner_change::release, owner_change::loss);
+    virtual_pool pool(4, worker_size, 58);
+    pool.run_for(milliseconds(200));
+    pool.m_always_failing.insert("a");
+    pool.submit("a", make_submission({1}, small_task, milliseconds(500)));
+    run_until_started(pool);
+    pool.run_for(milliseconds(100));
+    pool.m_has_route = false;
+    replace_owner(pool, how);
+    SECTION("a later run succeeds")
+    {
+        pool.m_always_failing.clear();
+        pool.run_for(milliseconds(2000));
+        CHECK(pool.state("a") == submission_state::succeeded);
+        CHECK(pool.m_starts["a.0.0.0"] == 2);
+    }
+    SECTION("all runs fail")
+    {
+        pool.run_for(milliseconds(8000));
+        CHECK(pool.state("a") == submission_state::failed);
+        CHECK(pool.m_starts["a.0.0.0"] == pool.m_contract.m_max_attempts);
+    }
+    CHECK(pool.violations().empty());
+}
+
+// Guards against more runs than allowed: the contract changed before the route was dropped.
+TEST_CASE("the last contract of a dropped route applies under a later owner", "[inherited_work]")
+{
+    virtual_pool pool(4, worker_size, 59);
+    pool.run_for(milliseconds(200));
+    pool.m_always_failing.insert("a");
+    pool.submit("a", make_submission({1}, small_task, milliseconds(500)));
+    run_until_started(pool);
+    pool.m_contract.m_max_attempts = 2;
+    set_queues(pool.current_owner().m_shard, {pool.m_contract});
+    pool.run_for(milliseconds(100));
+    pool.m_has_route = false;
+    replace_owner(pool, owner_change::loss);
+    pool.run_for(milliseconds(8000));
+    CHECK(pool.state("a") == submission_state::failed);
+    CHECK(pool.m_starts["a.0.0.0"] == 2);
+    CHECK(pool.violations().empty());
+}
+
 // Guards against duplicate runs, early starts and forgotten work around changes of the owner, for
 // each kind of work that an owner can inherit: later steps, gangs and occurrences.
 TEST_CASE("work of former owners is neither repeated nor forgotten", "[inherited_work]")
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -62,7 +62,9 @@
     state.m_service = service_id("s");
     state.m_token = fencing_token(static_cast<std::int64_t>(m_owners.size()) + 1);
     state.m_next_run = state.m_token.get() << 20;
-    set_queues(state, {m_contract});
+    if (m_has_route) {
+        set_queues(state, {m_contract});
+    }
     for (const std::vector<log_entry>& batch : m_log) {
         for (const log_entry& entry : batch) {
             replay_entry(state, entry, m_now, wall_at(m_now));
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -121,6 +121,7 @@
 
     std::vector<virtual_worker> m_workers;
     queue_contract m_contract;
+    bool m_has_route = true; ///< The configuration of the next owner has the queue.
     std::vector<std::vector<log_entry>> m_log;
     std::vector<std::unique_ptr<virtual_owner>> m_owners;
     std::map<std::string, std::uint32_t> m_starts; ///< Number of starts of each task.
