Count a submission as started when a worker has one of its runs

Cause: the mark was set when a start was ordered.

Change: the mark is set when a worker accepts or reports a run, or when a reported or logged end names one.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -58,7 +58,6 @@
     task.m_worker = &worker;
     task.m_run = run;
     task.m_available = false;
-    request.m_record->m_started = true;
     worker_order order;
     order.m_kind = worker_order::kind::start;
     order.m_worker = worker.m_info.m_id;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -168,6 +168,9 @@
     }
     slot->m_load = reported.m_load;
     const found_task found = find_task(state, reported.m_task);
+    if (found.m_record != nullptr) {
+        found.m_record->m_started = true;
+    }
     if (!is_current(worker, found, reported.m_run)) {
         if (slot->m_phase != run_phase::stopping) {
             stop_run(state, worker, *slot, true);
@@ -239,6 +242,7 @@
     if (found.m_task == nullptr) {
         return;
     }
+    found.m_record->m_started = true;
     if (current && !end.m_checkpoint.empty()) {
         found.m_task->m_checkpoint = end.m_checkpoint;
     }
@@ -623,6 +627,9 @@
             slot->m_accepted_at = now;
             slot->m_progress_at = now;
         }
+        if (const found_task found = find_task(state, order.m_task); found.m_record != nullptr) {
+            found.m_record->m_started = true;
+        }
         return;
     case order_outcome::unknown:
         state.m_log_lines.push_back("start unanswered: task=" + to_string(order.m_task) +
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -87,7 +87,7 @@
     /// It was read from the log, so that a former owner may have started any of its tasks on a
     /// worker that has not reported to this owner yet.
     bool m_inherited = false;
-    bool m_started = false; ///< At least one task was started.
+    bool m_started = false; ///< A worker has, or has had, a run of one of its tasks.
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
     submission_state m_final = submission_state::succeeded;
