Give no starts to a worker that takes no connections

Cause: a worker looks sound for 1.5 s after its last answer. A start that found no connection freed its capacity at once, so that the next task was placed there in the next round of planning. That most of these workers are of machines that have moved to other pools is suspected, not shown.

Change: such a worker gets no starts until it answers a hold, and the log names it once. A start that the owner itself withholds has an outcome of its own and does not count against the worker.

Result: the new case failed before (232 starts in a second for 60 tasks, bound 56).

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -329,7 +329,7 @@
     // shard, so that the order must not be sent.
     if (order.m_kind == worker_order::kind::start && !is_lease_valid() &&
         !m_dependencies.m_store_unreachable_for_all()) {
-        apply_order_answer(m_shard, order, order_outcome::not_sent, read_boot_clock(),
+        apply_order_answer(m_shard, order, order_outcome::withheld, read_boot_clock(),
                            read_wall_clock());
         co_return;
     }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -291,7 +291,8 @@
 bool accepts_starts(const worker_record& worker, time_point now)
 {
     return worker.m_answered && worker.m_use_stored && !worker.m_lease_ended && !worker.m_gone &&
-           !worker.m_cordoned && !worker.m_info.m_draining && worker.m_quarantined_until <= now &&
+           !worker.m_no_connection && !worker.m_cordoned && !worker.m_info.m_draining &&
+           worker.m_quarantined_until <= now &&
            (worker.m_listed || now - worker.m_unlisted_since < unlisted_start_grace) &&
            now - worker.m_last_heard_at < max_report_age;
 }
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -532,6 +532,7 @@
     }
     worker.m_lease_ended = false;
     worker.m_hold_failed = false;
+    worker.m_no_connection = false;
     worker.m_last_heard_at = now;
     for (const reported_end& end : report.m_ended) {
         if (end.m_number > worker.m_seen_end) {
@@ -648,10 +649,18 @@
     case order_outcome::refused_busy:
         record_worker_failure(state, worker, now);
         break;
+    case order_outcome::not_sent:
+        if (!worker.m_no_connection) {
+            state.m_log_lines.push_back("worker takes no connections, gets no starts until it "
+                                        "answers: worker=" +
+                                        order.m_worker.str() + " address=" + order.m_address);
+        }
+        worker.m_no_connection = true;
+        break;
     default:
         break;
     }
-    if (outcome != order_outcome::not_sent) {
+    if (outcome != order_outcome::not_sent && outcome != order_outcome::withheld) {
         state.m_log_lines.push_back("start refused: task=" + to_string(order.m_task) +
                                     " worker=" + order.m_worker.str() +
                                     " outcome=" + std::to_string(static_cast<int>(outcome)));
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -147,6 +147,7 @@
     time_point m_last_heard_at{};            ///< When it last answered.
     time_point m_lease_until{};              ///< After this moment its lease has certainly ended.
     bool m_hold_failed = false;              ///< The last hold got no answer.
+    bool m_no_connection = false;            ///< A start found no connection since its last answer.
     bool m_lease_ended = true;     ///< The lease has ended: no run that this owner knows of
                                    ///< can be active there.
     std::int64_t m_seen_end = 0;   ///< Number of the newest end that was processed.
--- a/src/worker/worker.h
+++ b/src/worker/worker.h
@@ -78,6 +78,7 @@
     other_incarnation,   ///< Another incarnation answers at the address.
     not_sent,            ///< No connection; the worker has not received the order.
     unknown,             ///< No answer; the order may have been or may still be carried out.
+    withheld,            ///< Not sent, because another owner may own the shard by now.
 };
 
 } // namespace guavabay
--- a/tests/schedule/unreachable_workers_test.cpp
+++ b/tests/schedule/unreachable_workers_test.cpp
@@ -32,4 +32,26 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against starts that are repeated as fast as an owner can plan: a worker that takes no
+// connections kept its free capacity and was chosen again for each task that waited.
+TEST_CASE("a worker that takes no connections gets no starts until it answers",
+          "[unreachable_workers]")
+{
+    virtual_pool pool(3, worker_size, 62);
+    pool.run_for(milliseconds(200));
+    pool.crash_worker(0);
+    pool.submit("a", make_submission({60}, small_task, milliseconds(400)));
+    const shard& state = pool.current_owner().m_shard;
+    constexpr std::uint64_t tasks_per_worker = 8;
+    pool.run_for(milliseconds(1000));
+    // Two sound workers start at most three rounds of tasks in this time.
+    CHECK(state.m_starts <= 2 * 3 * tasks_per_worker + tasks_per_worker);
+    pool.restart_worker(0, milliseconds(0));
+    pool.run_for(milliseconds(300));
+    CHECK_FALSE(pool.m_workers[0].m_runs.empty());
+    pool.run_for(milliseconds(6000));
+    CHECK(pool.state("a") == submission_state::succeeded);
+    CHECK(pool.violations().empty());
+}
+
 } // namespace guavabay
