Let the listed worker speak for a machine that came back

Cause: the machine had moved away and back while its shard changed its owner. The new owner had a record of the machine's former worker, from the log and a list that still had it. That worker never answers, and is_clear() asks for an answer of all workers of the machine.

Change: where a worker of the machine is listed, records of unlisted ones do not count.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -316,9 +316,15 @@
 
 bool is_clear(const shard& state, const machine_id& machine)
 {
+    // A machine that left and came back has a listed worker and records of former ones, whose runs
+    // ended with them.
+    const bool any_listed =
+        std::any_of(state.m_workers.begin(), state.m_workers.end(), [&](const auto& entry) {
+            return entry.second->m_info.m_machine == machine && entry.second->m_listed;
+        });
     bool known = false;
     for (const auto& [id, worker] : state.m_workers) {
-        if (worker->m_info.m_machine != machine) {
+        if (worker->m_info.m_machine != machine || (any_listed && !worker->m_listed)) {
             continue;
         }
         if (!worker->m_cordoned || !worker->m_runs.empty() || !worker->m_answered) {
--- a/tests/schedule/shard_test.cpp
+++ b/tests/schedule/shard_test.cpp
@@ -331,6 +331,30 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against a machine that never becomes clear: it had left the pool and come back, and the
+// new owner kept a record of its former worker, which can never answer.
+TEST_CASE("a machine that came back is clear though its former worker never answered", "[schedule]")
+{
+    virtual_pool pool(2, worker_size, 27);
+    pool.run_for(milliseconds(200));
+    pool.crash_worker(0);
+    pool.current_owner().m_alive = false;
+    pool.change_owner();
+    pool.run_for(milliseconds(100));
+    pool.m_workers[0].m_listed = false;
+    virtual_worker back = pool.m_workers[0];
+    back.m_listing.m_id = worker_id("back");
+    back.m_listing.m_address = "10.0.1.1:80";
+    back.m_listed = true;
+    back.m_up = true;
+    pool.m_workers.push_back(back);
+    pool.run_for(milliseconds(500));
+    shard& state = pool.current_owner().m_shard;
+    apply_instructions(state, {{back.m_listing.m_machine}, {}, false, 0}, pool.now());
+    CHECK(is_clear(state, back.m_listing.m_machine));
+    CHECK_FALSE(is_clear(state, pool.m_workers[1].m_listing.m_machine));
+}
+
 // Guards against two stopped tasks of one step: a task that had just started counted as unavailable
 // and was ordered to stop along with another one, although it became available before the order
 // arrived.
