Forget workers of former owners when their leases have ended

After a loss of an owner tasks waited up to 8 s for workers that had left long ago, and the log named such workers for good.

Cause: a worker that never answers a new owner stayed awaited, and an awaited worker is never removed. Each later owner awaited it again.

Change: awaited workers are forgotten when their leases have certainly ended; records that are not listed any more are then removed as usual. The log tells when and how many. Found by reading, while tracing the machines that a wave left behind.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -86,9 +86,8 @@
 bool is_startable(const shard& state, const submission_record& record, const scheduled_task& task,
                   time_point now)
 {
-    const bool awaited = !state.m_awaited_workers.empty() && now < state.m_awaited_until;
     return task.m_phase == task_phase::ready && task.m_not_before <= now &&
-           !(record.m_inherited && awaited);
+           (!record.m_inherited || state.m_awaited_workers.empty());
 }
 
 /// True when all tasks of the preceding steps are done.
@@ -340,6 +339,11 @@
     if (!state.m_loaded || state.m_lost) {
         return;
     }
+    if (!state.m_awaited_workers.empty() && now >= state.m_awaited_until) {
+        state.m_log_lines.push_back("leases of workers of former owners have ended: workers=" +
+                                    std::to_string(state.m_awaited_workers.size()));
+        state.m_awaited_workers.clear();
+    }
     const bool review = now - state.m_workers_reviewed_at >= worker_review_interval;
     if (review) {
         state.m_workers_reviewed_at = now;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -256,7 +256,7 @@
     bool m_loaded = false;          ///< The log was replayed to its end.
     bool m_takeover_stored = false; ///< The log durably names this owner; starts are allowed.
     std::set<worker_id> m_awaited_workers; ///< Workers that may still run a former owner's tasks.
-    time_point m_awaited_until{};          ///< After it the leases of these workers have ended.
+    time_point m_awaited_until{}; ///< When the leases of these workers have ended for certain.
     arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
--- a/tests/schedule/inherited_work_test.cpp
+++ b/tests/schedule/inherited_work_test.cpp
@@ -241,6 +241,26 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against owners that wait for workers which left long ago: a worker that never answered a
+// new owner stayed in the log for good, so that each later owner awaited the end of its lease
+// again.
+TEST_CASE("a worker that never answers a new owner is forgotten after its lease",
+          "[inherited_work]")
+{
+    virtual_pool pool(4, worker_size, 60);
+    pool.run_for(milliseconds(200));
+    pool.crash_worker(0);
+    pool.m_workers[0].m_listed = false;
+    const worker_id lost = pool.m_workers[0].m_listing.m_id;
+    replace_owner(pool, owner_change::loss);
+    CHECK(pool.current_owner().m_shard.m_awaited_workers.contains(lost));
+    pool.run_for(milliseconds(12000));
+    CHECK_FALSE(pool.current_owner().m_shard.m_workers.contains(lost));
+    replace_owner(pool, owner_change::loss);
+    CHECK_FALSE(pool.current_owner().m_shard.m_awaited_workers.contains(lost));
+    CHECK(pool.current_owner().m_shard.m_awaited_workers.size() == 3);
+}
+
 // Guards against duplicate runs, early starts and forgotten work around changes of the owner, for
 // each kind of work that an owner can inherit: later steps, gangs and occurrences.
 TEST_CASE("work of former owners is neither repeated nor forgotten", "[inherited_work]")
