Finish waves whose last machines have long-running tasks in time

Urgency never came for the last machines, since 3 of 73 machines counted as 0.04 rounds.

Change: machines with long-running tasks are drained ahead, as many as the deadline requires; the last machine needs the time of a whole round. The controller logs the progress of a wave each second and why each machine that has not begun waits, near the deadline and at it.

--- a/src/dispatch/machine_controller.cpp
+++ b/src/dispatch/machine_controller.cpp
@@ -5,6 +5,7 @@
 
 #include "core/result.h"
 #include "dispatch/ownership.h"
+#include "fleet/wave_report.h"
 #include "log/log.h"
 #include "net/spawn.h"
 #include "peer/bounded_archive.h"
@@ -490,6 +491,10 @@
 {
     const std::int64_t number = wave.m_wave.m_number;
     log_delays(wave);
+    const fleet_view fleet{m_listings, m_loads, m_drained_machines, m_moves.m_moves};
+    for (const std::string& text : report_wave(wave, fleet, read_boot_clock())) {
+        log_info("machines: " + text);
+    }
     std::vector<machine_id> orders;
     for (const machine_id& machine :
          select_machines_to_order(wave, m_drained_machines, read_boot_clock())) {
--- a/src/fleet/upkeep_plan.cpp
+++ b/src/fleet/upkeep_plan.cpp
@@ -100,11 +100,15 @@
     return pools;
 }
 
-/// Number of machines that the wave may drain or have away now: as many as its deadline requires,
-/// or more while machines are idle.
-std::size_t limit_under_way(const upkeep_progress& wave,
-                            const std::map<service_id, pool_in_wave>& pools,
-                            milliseconds upkeep_time, time_point now)
+/// Limits on the machines that a wave may drain or have away at a time.
+struct under_way_limits {
+    std::size_t m_required = 0; ///< As many as the deadline requires.
+    std::size_t m_allowed = 0;  ///< The same, or more while machines are idle.
+};
+
+under_way_limits limit_under_way(const upkeep_progress& wave,
+                                 const std::map<service_id, pool_in_wave>& pools,
+                                 milliseconds upkeep_time, time_point now)
 {
     const std::uint32_t max_concurrent = wave.m_wave.m_max_concurrent;
     const std::size_t most =
@@ -117,9 +121,14 @@
     for (const auto& [name, pool] : pools) {
         idle += std::max(0.0, pool.m_spare);
     }
-    const double wanted = std::max(machine_ms / time_left_ms, idle * idle_share);
-    const double limited = std::min(std::ceil(wanted), static_cast<double>(most));
-    return std::min(std::max(min_under_way, static_cast<std::size_t>(limited)), most);
+    const auto limited = [most](double machines) {
+        return static_cast<std::size_t>(std::min(std::ceil(machines), static_cast<double>(most)));
+    };
+    under_way_limits limits;
+    limits.m_required = limited(machine_ms / time_left_ms);
+    limits.m_allowed =
+        std::min(std::max({min_under_way, limits.m_required, limited(idle * idle_share)}), most);
+    return limits;
 }
 
 void set_phase(upkeep_machine& machine, upkeep_phase phase, time_point now)
@@ -205,11 +214,12 @@
         }
     }
     std::map<service_id, pool_in_wave> pools = find_waiting_machines(wave, listings, loads);
-    const std::size_t limit = limit_under_way(wave, pools, upkeep_time, now);
-    while (under_way < limit) {
+    const under_way_limits limits = limit_under_way(wave, pools, upkeep_time, now);
+    while (under_way < limits.m_allowed) {
         // Prefers a machine without long-running tasks, then a pool with machines to spare, then a
         // machine without runs, then the pool with the smallest drained share. A machine with
-        // long-running tasks is drained only when no other remains and no machine is under way.
+        // long-running tasks is drained only when no other remains, and only as far as the deadline
+        // requires: its other runs end while the long-running tasks wait for their turn to leave.
         const service_id* best = nullptr;
         std::tuple<bool, bool, bool, double> best_rank;
         for (const auto& [name, pool] : pools) {
@@ -225,7 +235,8 @@
                 best_rank = rank;
             }
         }
-        if (best == nullptr || (std::get<0>(best_rank) && under_way > 0)) {
+        if (best == nullptr ||
+            (std::get<0>(best_rank) && under_way > 0 && under_way >= limits.m_required)) {
             break;
         }
         pool_in_wave& pool = pools[*best];
@@ -267,9 +278,14 @@
 
 bool is_deadline_at_risk(const upkeep_progress& wave, milliseconds upkeep_time, time_point now)
 {
-    const auto rounds =
-        static_cast<double>(count_remaining(wave)) /
-        static_cast<double>(std::max<std::uint32_t>(1, wave.m_wave.m_max_concurrent));
+    const std::size_t remaining = count_remaining(wave);
+    if (remaining == 0) {
+        return false;
+    }
+    // Also the last machine needs the time of a whole round.
+    const double rounds = std::max(
+        1.0, static_cast<double>(remaining) /
+                 static_cast<double>(std::max<std::uint32_t>(1, wave.m_wave.m_max_concurrent)));
     const double needed = rounds * static_cast<double>((upkeep_time + typical_drain_time).count());
     const double time_left = to_milliseconds(wave.m_first_seen_at + wave.m_wave.m_duration - now);
     return needed > max_time_share * time_left;
--- a/src/fleet/upkeep_plan.h
+++ b/src/fleet/upkeep_plan.h
@@ -35,9 +35,11 @@
 /// Progress of one wave as the machine controller in charge knows it.
 struct upkeep_progress {
     upkeep_wave m_wave;
-    time_point m_first_seen_at{};  ///< Time at which this controller first read the wave.
-    bool m_succeeded = false;      ///< Every machine that stays has begun its upkeep.
-    bool m_status_written = false; ///< The progress was stored at least once.
+    time_point m_first_seen_at{};        ///< Time at which this controller first read the wave.
+    bool m_succeeded = false;            ///< Every machine that stays has begun its upkeep.
+    bool m_status_written = false;       ///< The progress was stored at least once.
+    time_point m_next_progress_report{}; ///< Earliest next log line about the progress.
+    std::uint32_t m_explanations = 0;    ///< Times that the machines that wait were logged.
     std::map<machine_id, upkeep_machine> m_machines;
 };
 
--- a/tests/fleet/upkeep_plan_test.cpp
+++ b/tests/fleet/upkeep_plan_test.cpp
@@ -215,4 +215,43 @@
     CHECK(count() > 100);
 }
 
+// Guards against a wave that is late by its last machines: their runs went on until they ended by
+// themselves, however little time was left.
+TEST_CASE("the last machine of a wave is at risk when less than a round's time is left", "[upkeep]")
+{
+    wave_fixture fixture(10, 5);
+    for (auto& [id, machine] : fixture.m_wave.m_machines) {
+        machine.m_phase = upkeep_phase::done;
+    }
+    const time_point end = fixture.m_wave.m_first_seen_at + fixture.m_wave.m_wave.m_duration;
+    CHECK_FALSE(is_deadline_at_risk(fixture.m_wave, upkeep_time, end - seconds(1)));
+    fixture.m_wave.m_machines.begin()->second.m_phase = upkeep_phase::draining;
+    CHECK_FALSE(is_deadline_at_risk(fixture.m_wave, upkeep_time, end - seconds(10)));
+    CHECK(is_deadline_at_risk(fixture.m_wave, upkeep_time, end - seconds(5)));
+}
+
+// Guards against the same: machines whose long-running tasks wait for their turn to leave went on
+// getting other work, which had to end after these tasks had left.
+TEST_CASE("machines with long-running tasks are drained as the deadline requires", "[upkeep]")
+{
+    wave_fixture fixture(40, 20);
+    std::map<service_id, pool_load> loads;
+    for (const machine_listing& listing : fixture.m_listings) {
+        loads[listing.m_pool].m_needed_machines = 20;
+        loads[listing.m_pool].m_machines[listing.m_machine] = {3, true, milliseconds(1000)};
+    }
+    const auto drained = [&] {
+        std::size_t count = 0;
+        for (const auto& [pool, machines] : select_machines_to_drain(
+                 fixture.m_wave, fixture.m_listings, loads, upkeep_time, fixture.m_now)) {
+            count += machines.size();
+        }
+        return count;
+    };
+    // 40 machines of 3.5 s each in 0.6 times 20 s, and in 0.6 times 10 s.
+    CHECK(drained() == 12);
+    fixture.m_now += seconds(10);
+    CHECK(drained() >= 16);
+}
+
 } // namespace guavabay
