Close idle connections that fell silent with the one that failed

Cause: after connections to an address had fallen silent, each call took the next idle one and waited for its time limit; stops wait for a growing delay in between, so 8 of them cost 17.5 s, while the hold that worked kept the lease. Fix: a kept connection on which a call gets nothing takes the idle ones to its address with it that carried no answer since the call began, so the next call opens a new one. That holds for workers, the store and the machines' service alike.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -41,9 +41,9 @@
 
 std::optional<beast::tcp_stream> http_client::take_idle(const key& address)
 {
-    std::vector<beast::tcp_stream>& idle = m_idle[address];
+    std::deque<idle_connection>& idle = m_idle[address];
     while (!idle.empty()) {
-        beast::tcp_stream stream = std::move(idle.back());
+        beast::tcp_stream stream = std::move(idle.back().m_stream);
         idle.pop_back();
         if (is_quiet(stream)) {
             return stream;
@@ -52,6 +52,14 @@
     return std::nullopt;
 }
 
+void http_client::close_idle(const key& address, clock::time_point since)
+{
+    std::deque<idle_connection>& idle = m_idle[address];
+    while (!idle.empty() && idle.front().m_answered_at < since) {
+        idle.pop_front();
+    }
+}
+
 asio::awaitable<http_answer> http_client::call(ip_address address, http_call what,
                                                milliseconds timeout,
                                                std::optional<milliseconds> max_pause,
@@ -60,10 +68,11 @@
     http_answer answer;
     error_code error;
     const key place{address.m_ip, address.m_port};
-    using clock = asio::steady_timer::clock_type;
-    const clock::time_point deadline = clock::now() + timeout;
+    const clock::time_point started_at = clock::now();
+    const clock::time_point deadline = started_at + timeout;
     std::optional<beast::tcp_stream> stream = take_idle(place);
-    if (!stream) {
+    const bool was_kept = stream.has_value();
+    if (!was_kept) {
         stream.emplace(m_context);
         stream->expires_at(deadline);
         ++m_opened;
@@ -85,6 +94,9 @@
         stream->expires_at(max_pause ? std::max(deadline, clock::now() + *max_pause) : deadline);
         co_await http::async_write_some(*stream, serializer, to_coroutine(error));
         if (error) {
+            if (was_kept) {
+                close_idle(place, started_at);
+            }
             co_return answer;
         }
     }
@@ -100,6 +112,9 @@
         co_await http::async_read_some(*stream, buffer, parser, to_coroutine(error));
         answer.m_received_bytes = parser.get().body().size();
         if (error) {
+            if (was_kept && answer.m_received_bytes == 0) {
+                close_idle(place, started_at);
+            }
             co_return answer;
         }
         if (last_received_at != nullptr && parser.is_header_done() &&
@@ -114,10 +129,10 @@
     answer.m_status = parser.get().result_int();
     const bool keep = parser.get().keep_alive();
     answer.m_body = std::move(parser.release().body());
-    std::vector<beast::tcp_stream>& idle = m_idle[place];
+    std::deque<idle_connection>& idle = m_idle[place];
     if (keep && buffer.size() == 0 && idle.size() < m_max_idle) {
         stream->expires_never();
-        idle.push_back(std::move(*stream));
+        idle.push_back({std::move(*stream), clock::now()});
     }
     co_return answer;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -12,7 +13,9 @@
 
 /// Calls other systems over HTTP/1.1 and keeps connections for later calls. One call is under way
 /// on a connection; a connection whose answer did not come in time is closed, so that a late
-/// answer reaches no other call. Used on the thread of its context.
+/// answer reaches no other call. If it had been kept from an earlier call, so are the idle ones to
+/// that address that are no younger: a path that lost its state silences them together. Used on the
+/// thread of its context.
 class http_client {
 public:
     /// Makes a client that keeps at most the given number of idle connections to an address.
@@ -31,12 +34,23 @@
 
 private:
     using key = std::pair<asio::ip::address, std::uint16_t>;
+    using clock = asio::steady_timer::clock_type;
 
+    /// A connection without a call.
+    struct idle_connection {
+        beast::tcp_stream m_stream;
+        clock::time_point m_answered_at; ///< When its last answer was complete.
+    };
+
+    /// Takes the idle connection to an address that was used last; empty if there is none.
     std::optional<beast::tcp_stream> take_idle(const key& address);
 
+    /// Closes the idle connections to an address that have carried no answer since a moment.
+    void close_idle(const key& address, clock::time_point since);
+
     asio::io_context& m_context;
     std::size_t m_max_idle;
-    std::map<key, std::vector<beast::tcp_stream>> m_idle;
+    std::map<key, std::deque<idle_connection>> m_idle; ///< The one used last is at the end.
     std::uint64_t m_opened = 0;
 };
 
