Give up a silent connection to a peer within one call, and repeat the call

What callers saw: after connections had fallen silent, calls to owners ended with 504 for seconds, cancellations among them. Cause: a connection between hosts was given up only after two calls in a row had run into their limits of 2.8 s. Fix: while a call waits and nothing comes back, the connection is probed with a question that peers answer at once, and given up after 1.3 s; the entry host then repeats the call in the time that is left. After an attempt of unknown outcome a refusal is not passed on, since the first attempt may still be carried out.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -28,6 +28,10 @@
 constexpr milliseconds owner_retry_interval{100};
 constexpr milliseconds owner_retry_limit{450};
 
+/// A call whose outcome is unknown, because the connection to the owner was lost, is repeated while
+/// at least this much of its time is left. Calls name a submission, so a repetition is harmless.
+constexpr milliseconds min_owner_attempt{500};
+
 /// Interval at which owners that are new get the whole worker list.
 constexpr milliseconds worker_supply_interval{100};
 
@@ -510,13 +514,25 @@
     const time_point started_at = read_boot_clock();
     asio::steady_timer timer(m_context);
     owner_reply reply;
+    bool is_unknown = false; ///< An earlier attempt may have been carried out, also later.
     while (true) {
         host_message copy = message;
+        const auto taken = std::chrono::duration_cast<milliseconds>(read_boot_clock() - started_at);
         std::optional<owner_reply> answer =
-            co_await call_owner_once(service, std::move(copy), timeout);
+            co_await call_owner_once(service, std::move(copy), timeout - taken);
         reply = *answer;
-        if (reply.m_answer != owner_answer::not_owner ||
-            read_boot_clock() - started_at > owner_retry_limit) {
+        const bool is_settled =
+            reply.m_answer == owner_answer::done || reply.m_answer == owner_answer::none;
+        is_unknown = is_unknown || reply.m_answer == owner_answer::unknown;
+        if (is_unknown && !is_settled) {
+            // A later refusal says nothing about the earlier attempt.
+            reply.m_answer = owner_answer::unknown;
+        }
+        const duration elapsed = read_boot_clock() - started_at;
+        const bool may_repeat =
+            is_unknown ? elapsed + min_owner_attempt < timeout
+                       : reply.m_answer == owner_answer::not_owner && elapsed <= owner_retry_limit;
+        if (is_settled || !may_repeat) {
             co_return reply;
         }
         timer.expires_after(owner_retry_interval);
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -19,6 +19,11 @@
 /// Longest time in which a write to a peer may make no progress.
 constexpr milliseconds max_write_pause{2000};
 
+/// A connection on which nothing comes back for the first time while a call waits is probed with a
+/// question that a peer answers at once, and given up when nothing comes back for the second.
+constexpr milliseconds probe_delay{600};
+constexpr milliseconds probe_timeout{700};
+
 /// Bytes of a connection that were received and not decoded yet.
 struct receive_buffer {
     std::string m_bytes;
@@ -85,6 +90,15 @@
                read_boot_clock() - m_received.m_last_received_at < max_pause;
     }
 
+    /// Closes the connection. All calls that wait on it fail.
+    void give_up()
+    {
+        m_over = true;
+        error_code ignored;
+        m_socket.close(ignored);
+        m_wake.cancel();
+    }
+
     void fail_all()
     {
         for (auto& [number, call] : m_calls) {
@@ -251,13 +265,37 @@
         co_return fail("no connection to " + address);
     }
     const std::uint64_t number = m_next_number++;
-    asio::steady_timer timer(m_context, timeout);
+    const time_point started_at = read_boot_clock();
+    const asio::steady_timer::time_point deadline = asio::steady_timer::clock_type::now() + timeout;
+    asio::steady_timer timer(m_context, std::min(timeout, probe_delay));
     outgoing::waiting_call waiting;
     waiting.m_timer = &timer;
     channel->m_calls[number] = &waiting;
     enqueue(channel, encode_counted(number, message));
     error_code error;
     co_await timer.async_wait(to_coroutine(error));
+    const auto is_silent = [&] {
+        return !waiting.m_reply && !waiting.m_failed && channel->m_connected &&
+               channel->m_queue_bytes == 0 && channel->m_received.m_last_received_at < started_at;
+    };
+    if (timeout > probe_delay + probe_timeout && is_silent()) {
+        enqueue(channel, encode_counted(m_next_number++, host_message(store_status_request{})));
+        timer.expires_after(probe_timeout);
+        co_await timer.async_wait(to_coroutine(error));
+        if (is_silent()) {
+            log_info("peer: connection is silent and is given up peer=" + address);
+            if (was_sent != nullptr) {
+                *was_sent = waiting.m_sent;
+            }
+            channel->m_calls.erase(number);
+            channel->give_up();
+            co_return fail("the connection to " + address + " is silent");
+        }
+    }
+    if (!waiting.m_reply && !waiting.m_failed) {
+        timer.expires_at(deadline);
+        co_await timer.async_wait(to_coroutine(error));
+    }
     while (max_pause && !waiting.m_reply && !waiting.m_failed &&
            channel->is_receiving(*max_pause)) {
         timer.expires_after(*max_pause);
@@ -274,10 +312,7 @@
         // A connection on which nothing comes back any more is given up.
         constexpr std::size_t max_timeouts_in_row = 2;
         if (++channel->m_timeouts_in_row >= max_timeouts_in_row) {
-            channel->m_over = true;
-            error_code ignored;
-            channel->m_socket.close(ignored);
-            channel->m_wake.cancel();
+            channel->give_up();
         }
     }
     co_return fail("no reply from " + address);
--- a/src/peer/host_link.h
+++ b/src/peer/host_link.h
@@ -36,7 +36,8 @@
     host_link(asio::io_context& context, const ip_address& address, request_handler handler);
 
     /// Calls a peer; empty with a reason when no reply came in time. The progress tells whether
-    /// the call left this host. With a maximum pause, a call whose timeout passes while a frame is
+    /// the call left this host. A call fails early when its connection turns out to be silent; the
+    /// next one opens another. With a maximum pause, a call whose timeout passes while a frame is
     /// arriving waits on until the frame is complete or pauses for longer.
     asio::awaitable<std::optional<host_message>>
     call(std::string address, host_message message, milliseconds timeout, bool* was_sent,
