Log and count what becomes of cancellations and of the runs they stop

Cause: a cancellation left no log line, so that nothing told whether it reached the shard of its submission, came before it, was stored late, or was carried out on a worker that nobody reads.

Change: the entry host logs a DELETE that is not done at once, an id answered as unknown, and an id under no route. The owner logs a cancellation when it arrives, when it is stored or is not in the caller's time, when its id is unknown, and an acceptance that follows an unknown cancellation. The scheduler logs a run of a decided or unknown submission in a report, a run that is still there 1 s after the longest time of a stop, an unlisted worker that reports runs, and another incarnation in a worker's place; each once for the run or the period. An owner that stops writes the lines that it still holds. Metrics count the same by shard.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -82,6 +82,14 @@
     return address.m_ip.to_string() + ":" + std::to_string(address.m_port);
 }
 
+/// Writes a line that may be empty: there is nothing to say then.
+void note(const std::string& line)
+{
+    if (!line.empty()) {
+        log_info(line);
+    }
+}
+
 /// Timeout of a call to an owner, given how long the caller waits; zero means unknown.
 milliseconds owner_timeout(milliseconds caller_timeout)
 {
@@ -625,10 +633,27 @@
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
+        text += format_cancellation_metrics(state, now);
     }
     return text;
 }
 
+request_note dispatcher::make_request_note(const queue_route& route, const submission_id& id,
+                                           std::string_view method, const owner_reply& reply,
+                                           time_point started_at) const
+{
+    const service_id& service = route.m_contract.m_service;
+    const owner_record* owner = m_registry.find_owner(service);
+    return {std::string(method),
+            id,
+            route.m_contract.m_queue,
+            service,
+            owner == nullptr ? std::string() : owner->m_host.m_host.str(),
+            reply.m_answer,
+            read_boot_clock() - started_at,
+            m_config ? m_config->m_version : 0};
+}
+
 asio::awaitable<caller_answer> dispatcher::route_caller_request(caller_request request)
 {
     if (!m_config) {
@@ -637,6 +662,8 @@
     const std::string path = request.m_path.substr(0, request.m_path.find('?'));
     const queue_route* found = find_route(*m_config, request.m_host, path);
     if (found == nullptr) {
+        note(describe_missing_route(request.m_method, request.m_host, path, *m_config, m_noted,
+                                    read_boot_clock()));
         co_return make_answer(http_status::not_found);
     }
     const queue_route route = *found;
@@ -655,6 +682,8 @@
         co_return make_answer(http_status::ok, platform::encode_pending_count(reply.m_count));
     }
     if (!platform::is_submission_id(rest)) {
+        note(describe_missing_route(request.m_method, request.m_host, path, *m_config, m_noted,
+                                    read_boot_clock()));
         co_return make_answer(http_status::not_found);
     }
     const submission_id id(rest);
@@ -663,19 +692,24 @@
     }
     if (request.m_method == "GET") {
         host_message message(state_request{service, id});
+        const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
         if (reply.m_answer == owner_answer::done) {
             co_return make_answer(http_status::ok,
                                   platform::encode_submission_state(reply.m_state));
         }
         if (reply.m_answer == owner_answer::none) {
+            note(describe_unknown_id(make_request_note(route, id, "GET", reply, started_at),
+                                     m_noted, read_boot_clock()));
             co_return make_answer(http_status::gone);
         }
         co_return make_answer(http_status::unavailable, {}, min_retry_after_s);
     }
     if (request.m_method == "DELETE") {
         host_message message(cancel_request{service, id});
+        const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
+        note(describe_cancellation(make_request_note(route, id, "DELETE", reply, started_at)));
         if (reply.m_answer == owner_answer::done) {
             co_return make_answer(http_status::ok, "{}");
         }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "dispatch/machine_controller.h"
 #include "dispatch/peer_table.h"
 #include "dispatch/registry.h"
+#include "dispatch/request_notes.h"
 #include "dispatch/shard_owner.h"
 #include "dispatch/worker_client.h"
 #include "dispatch/worker_directory.h"
@@ -42,6 +43,10 @@
     asio::awaitable<caller_answer> handle_caller_request(caller_request request);
     /// Answers a caller by the route, method and submission of the request.
     asio::awaitable<caller_answer> route_caller_request(caller_request request);
+    /// What to log about a request to an owner that began at a moment and is answered now.
+    [[nodiscard]] request_note make_request_note(const queue_route& route, const submission_id& id,
+                                                 std::string_view method, const owner_reply& reply,
+                                                 time_point started_at) const;
     asio::awaitable<caller_answer> handle_metrics_request(caller_request request);
     [[nodiscard]] std::string format_metrics() const;
     asio::awaitable<caller_answer> handle_submit(const queue_route& route, submission_id id,
@@ -103,6 +108,7 @@
     caller_server m_readiness_server;
     std::unique_ptr<caller_server> m_metrics_server; ///< Null if no metrics address is set.
     host_metrics m_metrics;
+    remembered_keys m_noted; ///< Requests that were logged; the same is not logged again.
     std::optional<operator_config> m_config; ///< Empty until the first valid one was read.
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners; ///< Shards that this host owns.
     std::shared_ptr<machine_controller>
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -141,6 +141,7 @@
         return;
     }
     m_stopped = true;
+    flush_log_lines();
     m_shard.m_lost = true;
     m_log_timer.cancel();
     m_loop_timer.cancel();
@@ -475,8 +476,10 @@
             }
             else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
                 wake_waiters(cancelled->m_id, awaited_entry::cancelled);
+                note_cancellation_stored(m_shard, cancelled->m_id, read_boot_clock());
             }
         }
+        flush_log_lines();
         for (const end_position& end : batch->m_ends) {
             const auto found = m_hold_timers.find(end.m_worker);
             if (found != m_hold_timers.end()) {
@@ -714,6 +717,8 @@
         reply.m_answer = owner_answer::not_owner;
         co_return reply;
     }
+    note_cancellation(m_shard, id, read_boot_clock());
+    flush_log_lines();
     if (!guavabay::cancel(m_shard, id)) {
         reply.m_answer = owner_answer::none;
         co_return reply;
@@ -725,6 +730,10 @@
     }
     const bool stored = co_await wait_until_stored(id, awaited_entry::cancelled, caller_timeout) ==
                         wait_result::stored;
+    if (!stored) {
+        note_cancellation_open(m_shard, id, read_boot_clock());
+        flush_log_lines();
+    }
     reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
     schedule_plan();
     co_return reply;
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -154,6 +154,7 @@
     if (record->m_definition.m_repeat_count == 0) {
         create_occurrence(*record, 0);
     }
+    note_acceptance(state, id, now);
     log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
         log_accepted{id, queue, record->m_accepted_ms, record->m_definition});
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -237,11 +237,15 @@
             stop_run(state, worker, slot, false);
             record_worker_failure(state, worker, now);
         }
+        if (slot.m_phase == run_phase::stopping) {
+            note_stopping_run(state, worker, slot, now);
+        }
         if (slot.m_phase != run_phase::stopping || slot.m_order_pending ||
             slot.m_next_stop_at > now || !worker.m_answered || worker.m_lease_ended) {
             continue;
         }
         slot.m_order_pending = true;
+        note_stop_sent(state, slot);
         worker_order order;
         order.m_kind = worker_order::kind::stop;
         order.m_worker = id;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -130,6 +130,9 @@
     worker.m_unknown_demands += slot.m_unknown_demand ? 1 : 0;
     run_slot& added =
         worker.m_runs.insert_or_assign({reported.m_task, reported.m_run}, slot).first->second;
+    if (found.m_task == nullptr) {
+        note_stray_run(state, worker, added, false, now);
+    }
     if (!is_adoptable) {
         stop_run(state, worker, added, true);
         return;
@@ -171,6 +174,9 @@
     if (found.m_record != nullptr) {
         found.m_record->m_started = true;
     }
+    else {
+        note_stray_run(state, worker, *slot, true, now);
+    }
     if (!is_current(worker, found, reported.m_run)) {
         if (slot->m_phase != run_phase::stopping) {
             stop_run(state, worker, *slot, true);
@@ -534,6 +540,7 @@
     worker.m_hold_failed = false;
     worker.m_no_connection = false;
     worker.m_last_heard_at = now;
+    note_report(state, worker, report, now);
     for (const reported_end& end : report.m_ended) {
         if (end.m_number > worker.m_seen_end) {
             worker.m_seen_end = end.m_number;
@@ -563,6 +570,7 @@
     }
     else if (outcome == order_outcome::other_incarnation) {
         worker_record& worker = *found->second;
+        note_other_incarnation(state, worker, now);
         end_incarnation(state, worker, now, false);
         worker.m_runs.clear();
         worker.m_reserved = {};
@@ -579,6 +587,7 @@
                         time_point now, wall_time wall)
 {
     (void)wall;
+    note_order_answer(state, order, outcome);
     if (outcome == order_outcome::refused_stale_token) {
         state.m_lost = true;
         state.m_log_lines.push_back(
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -12,6 +12,7 @@
 
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
+#include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
 #include "submission/submission_log.h"
@@ -84,6 +85,7 @@
     time_point m_hard_deadline{}; ///< A later finish earns nothing.
     bool m_accept_stored = false;
     bool m_cancel_requested = false;
+    time_point m_cancel_received_at{}; ///< Zero unless its cancellation waits to be stored.
     /// It was read from the log, so that a former owner may have started any of its tasks on a
     /// worker that has not reported to this owner yet.
     bool m_inherited = false;
@@ -117,12 +119,17 @@
     bool m_stop_answered = false;
     bool m_stay_logged = false; ///< The log says already that it cannot leave its worker.
     time_point m_stop_answered_at{};
-    time_point m_accepted_at{};  ///< When the worker confirmed the start.
-    bool m_reported = false;     ///< The worker has listed it, in its current incarnation.
-    std::int32_t m_percent = -1; ///< Last reported progress; -1 before the first report.
-    time_point m_progress_at{};  ///< When the progress last changed.
-    std::int64_t m_load = 0;     ///< As reported: tail in milliseconds or cores in use.
-    std::int32_t m_pace = 100;   ///< Percent of full speed.
+    time_point m_stopping_since{}; ///< When a planning round first found that it is to be stopped.
+    std::uint32_t m_stops_sent = 0;
+    std::uint32_t m_stops_answered = 0;
+    bool m_stray_noted = false;   ///< Its submission was found to be decided or unknown.
+    bool m_overdue_noted = false; ///< The log says already that it is there long after its stop.
+    time_point m_accepted_at{};   ///< When the worker confirmed the start.
+    bool m_reported = false;      ///< The worker has listed it, in its current incarnation.
+    std::int32_t m_percent = -1;  ///< Last reported progress; -1 before the first report.
+    time_point m_progress_at{};   ///< When the progress last changed.
+    std::int64_t m_load = 0;      ///< As reported: tail in milliseconds or cores in use.
+    std::int32_t m_pace = 100;    ///< Percent of full speed.
     std::int32_t m_requested_pace = 100;
     time_point m_pace_at{}; ///< When the pace last changed.
     milliseconds m_estimate{0};
@@ -138,6 +145,8 @@
     bool m_use_stored = false; ///< The stored log says that the worker is in use.
     bool m_listed = false;     ///< It was in the platform's list at the last reading.
     time_point m_unlisted_since{};
+    time_point m_unlisted_noted{};       ///< Start of the last unlisted period that was logged.
+    time_point m_other_incarnation_at{}; ///< When another incarnation last answered in its place.
     time_point m_draining_since{};
     bool m_answered = false; ///< It has answered a hold with this owner's fencing token.
     std::int64_t m_incarnation_start_ms = 0; ///< Unix time; zero if unknown.
@@ -274,6 +283,7 @@
     std::uint64_t m_tasks_examined = 0;         ///< Metric: tasks examined for a start.
     std::uint64_t m_ends_done = 0;              ///< Metric: runs that ended successfully.
     std::uint64_t m_ends_other = 0;             ///< Metric: runs that ended otherwise.
+    cancellation_counts m_cancellations;
     bool m_ranking_stale = true; ///< Submissions have changed since the last ranking.
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -5,10 +5,12 @@
 #include "dispatch/ownership.h"
 #include "dispatch/shard_owner.h"
 #include "net/spawn.h"
+#include "support/captured_log.h"
 #include "support/loopback.h"
 #include "support/paced_store.h"
 
 using namespace guavabay;
+using guavabay::test::captured_log;
 using guavabay::test::paced_store;
 using guavabay::test::run_until;
 
@@ -236,6 +238,71 @@
     CHECK(owned.m_owner->is_alive());
 }
 
+// Guards against a cancellation of which no log tells whether the owner had it and when it was
+// stored.
+TEST_CASE("an owner logs a cancellation when it arrives and when it is stored", "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000021") == owner_answer::done);
+    const captured_log log;
+    std::optional<owner_answer> answer;
+    owned.start_cancel("0000000000000021", answer);
+    REQUIRE(run_until(owned.m_context, [&] { return answer.has_value(); }));
+    REQUIRE(*answer == owner_answer::done);
+    const std::string received = log.lines_with("shard: cancellation received: ");
+    CHECK(received.find(" id=0000000000000021 accept_stored=yes runs=0 service=service-a\n") !=
+          std::string::npos);
+    const std::string stored = log.lines_with("shard: cancellation stored: ");
+    CHECK(stored.find(" id=0000000000000021 after_ms=") != std::string::npos);
+    CHECK(stored.find(" state=canceled runs_to_stop=0 service=service-a\n") != std::string::npos);
+    CHECK(owned.m_owner->state().m_cancellations.m_received == 1);
+    CHECK(owned.m_owner->state().m_cancellations.m_stored == 1);
+}
+
+// Guards against a cancelled submission that runs and of which no log tells that its cancellation
+// had come before it.
+TEST_CASE("an owner logs an unknown cancellation and a later acceptance of its id",
+          "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    const captured_log log;
+    std::optional<owner_answer> answer;
+    owned.start_cancel("0000000000000022", answer);
+    REQUIRE(run_until(owned.m_context, [&] { return answer.has_value(); }));
+    REQUIRE(*answer == owner_answer::none);
+    CHECK_FALSE(log.lines_with("shard: cancellation of an unknown submission: id=0000000000000022")
+                    .empty());
+    REQUIRE(owned.submit("0000000000000022") == owner_answer::done);
+    const std::string later = log.lines_with("shard: submission accepted after its cancellation");
+    CHECK(later.find(" id=0000000000000022 cancelled_ms_ago=") != std::string::npos);
+    CHECK(owned.m_owner->state().m_cancellations.m_accepted_later == 1);
+}
+
+// Guards against a cancellation that waits for the store and of which no log tells that it does.
+TEST_CASE("an owner logs a cancellation that is not stored in the caller's time", "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000023") == owner_answer::done);
+    const captured_log log;
+    owned.m_store.m_refuse_status = 503;
+    std::optional<owner_answer> answer;
+    owned.start_cancel("0000000000000023", answer);
+    REQUIRE(run_until(owned.m_context, [&] { return answer.has_value(); }));
+    REQUIRE(*answer == owner_answer::unknown);
+    CHECK_FALSE(log.lines_with("shard: cancellation not stored in the caller's time: "
+                               "id=0000000000000023 after_ms=2")
+                    .empty());
+    CHECK(log.lines_with("shard: cancellation stored: ").empty());
+    owned.m_store.m_refuse_status = 0;
+    CHECK(run_until(owned.m_context, [&] {
+        return !log.lines_with("shard: cancellation stored: id=0000000000000023").empty();
+    }));
+    CHECK(owned.m_owner->state().m_cancellations.m_timed_out == 1);
+}
+
 TEST_CASE("an exception in a spawned coroutine ends neither the context nor other coroutines",
           "[owner_faults]")
 {
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -420,6 +420,11 @@
         }
     }
     mark_batch_stored(owner.m_shard, *batch, wall_at(m_now));
+    for (const log_entry& entry : batch->m_entries) {
+        if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
+            note_cancellation_stored(owner.m_shard, cancelled->m_id, m_now);
+        }
+    }
 }
 
 void virtual_pool::give_orders(std::size_t index)
@@ -517,6 +522,7 @@
 
 bool virtual_pool::cancel(const std::string& id)
 {
+    note_cancellation(current_owner().m_shard, submission_id(id), m_now);
     return guavabay::cancel(current_owner().m_shard, submission_id(id));
 }
 
