--- a/tests/dispatch/config_delivery_test.cpp
+++ b/tests/dispatch/config_delivery_test.cpp
@@ -1,18 +1,19 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
-#include <memory>
-#include <unistd.h>
 
-#include "dispatch/dispatcher.h"
 #include "dispatch/prefix_watch.h"
 #include "net/http_status.h"
 #include "platform/operator_records.h"
+#include "support/local_host.h"
 #include "support/loopback.h"
 #include "support/paced_store.h"
 
 using namespace guavabay;
+using guavabay::test::free_address;
+using guavabay::test::local_host;
 using guavabay::test::paced_store;
 using guavabay::test::run_until;
+using guavabay::test::to_text;
 using guavabay::test::wait_limit;
 
 namespace {
@@ -24,31 +25,6 @@
 constexpr std::size_t slow_link_bytes_per_s = 100'000;
 constexpr std::size_t slow_value_bytes = 220'000;
 
-/// A free port on loopback, for servers whose address has to be known before they are created. Lies
-/// below the range of ports that other processes get for their connections.
-ip_address free_address(asio::io_context& context)
-{
-    constexpr int first_port = 20000;
-    constexpr int port_count = 10000;
-    static int next = static_cast<int>(getpid()) * 16;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(first_port + next++ % port_count);
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), port);
-        asio::ip::tcp::acceptor probe(context, endpoint.protocol());
-        error_code error;
-        probe.set_option(asio::socket_base::reuse_address(true), error);
-        probe.bind(endpoint, error);
-        if (!error) {
-            return {endpoint.address(), port};
-        }
-    }
-}
-
-std::string to_text(const ip_address& address)
-{
-    return address.m_ip.to_string() + ":" + std::to_string(address.m_port);
-}
-
 /// A valid configuration with a number of routes.
 std::string make_config(std::int64_t version, std::size_t routes)
 {
@@ -95,32 +71,6 @@
     prefix_watch m_watch;
 };
 
-/// An entry host with loopback addresses.
-struct local_host {
-    local_host(asio::io_context& context, const std::string& name, const ip_address& store,
-               std::vector<std::string> seeds)
-        : m_peer_address(free_address(context)), m_readiness_address(free_address(context)),
-          m_metrics_address(free_address(context))
-    {
-        host_settings settings;
-        settings.m_host = host_id(name);
-        settings.m_zone = zone_id("zone-a");
-        settings.m_caller_address = {m_peer_address.m_ip, 0};
-        settings.m_readiness_address = m_readiness_address;
-        settings.m_peer_address = m_peer_address;
-        settings.m_metrics_address = m_metrics_address;
-        settings.m_store_address = store;
-        settings.m_seeds = std::move(seeds);
-        m_host = std::make_unique<dispatcher>(context, std::move(settings));
-        m_host->start();
-    }
-
-    ip_address m_peer_address;
-    ip_address m_readiness_address;
-    ip_address m_metrics_address;
-    std::unique_ptr<dispatcher> m_host;
-};
-
 /// Sends a GET request and returns the answer.
 http_answer get(asio::io_context& context, http_client& http, const ip_address& address,
                 const std::string& target)
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -79,6 +79,17 @@
     return found == m_copies.end() ? 0 : found->second;
 }
 
+std::vector<std::string> paced_store::values(const std::string& prefix) const
+{
+    std::vector<std::string> found;
+    for (const auto& [key, item] : m_items) {
+        if (key.starts_with(prefix)) {
+            found.push_back(item.m_value);
+        }
+    }
+    return found;
+}
+
 revision paced_store::write(const std::string& key, std::string value, lease_id lease, bool removed)
 {
     store_item item;
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -31,6 +31,9 @@
     /// True if there is a record under a key.
     [[nodiscard]] bool contains(const std::string& key) const { return m_items.contains(key); }
 
+    /// The values of all records whose keys begin with a prefix, in the order of their keys.
+    [[nodiscard]] std::vector<std::string> values(const std::string& prefix) const;
+
     /// Number of times a record's value was sent, complete or not.
     [[nodiscard]] std::size_t copies_sent(const std::string& key) const;
 
