Show that a cancellation does not follow a route to another service

Callers see: DELETE of an accepted submission is answered 410, which counts as an acknowledgement, after a configuration named another service for its queue; the submission runs on. The owner is found by the route in force (dispatcher::route_caller_request), and the new service's owner knows no such id. No change of logic.

--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -117,3 +117,15 @@
     CHECK(host.call("DELETE", path).m_status == http_status::ok);
     CHECK(host.entries("service-a").m_cancelled == 1);
 }
+
+// Guards against cancelled work that runs on: the owner was found by the route in force, and the
+// owner of the route's new service told the caller that there is no such submission.
+TEST_CASE("a cancellation reaches the submission after its route names another service",
+          "[cancel_route]")
+{
+    routed_host host;
+    REQUIRE(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    host.configure("service-b");
+    CHECK(host.call("DELETE", path).m_status == http_status::ok);
+    CHECK(host.entries("service-a").m_cancelled == 1);
+}
