Show that a cancellation is not looked at once its route is removed

Callers see: DELETE of an accepted submission is answered 404 for as long as they repeat it, after a configuration dropped its route; the submission runs on. The case asks for the cancellation in the log, not for a status, since a call on a removed route may not succeed. No change of logic.

--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -129,3 +129,16 @@
     CHECK(host.call("DELETE", path).m_status == http_status::ok);
     CHECK(host.entries("service-a").m_cancelled == 1);
 }
+
+// Guards against cancelled work that runs on: a cancellation was not looked at once the route of
+// its submission had been removed. The answer is left open: a call on a removed route may not
+// succeed.
+TEST_CASE("a cancellation reaches the submission after its route was removed", "[cancel_route]")
+{
+    routed_host host;
+    REQUIRE(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    host.configure("");
+    CAPTURE(host.call("DELETE", path).m_status);
+    CHECK(run_until(
+        host.m_context, [&] { return host.entries("service-a").m_cancelled == 1; }, seconds(2)));
+}
