Show that the state of a submission is lost when its route moves

Callers see: GET of an accepted submission that nobody has cancelled is answered 410 after a configuration named another service for its queue. No change of logic.

--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -142,3 +142,13 @@
     CHECK(run_until(
         host.m_context, [&] { return host.entries("service-a").m_cancelled == 1; }, seconds(2)));
 }
+
+// Guards against callers that are told that their accepted submission does not exist.
+TEST_CASE("the state of a submission is told after its route names another service",
+          "[cancel_route]")
+{
+    routed_host host;
+    REQUIRE(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    host.configure("service-b");
+    CHECK(host.call("GET", path).m_status == http_status::ok);
+}
