Show that a repeated request makes a second submission when its route moves

Callers see: a copy of the POST of an accepted submission that arrives after a configuration named another service for its queue is accepted there as well. Both run, and a cancellation ends the second one only. No change of logic.

--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -152,3 +152,16 @@
     host.configure("service-b");
     CHECK(host.call("GET", path).m_status == http_status::ok);
 }
+
+// Guards against a submission that runs twice: a late copy of its request, after the route named
+// another service, was accepted as a new submission there.
+TEST_CASE("a repeated request makes no second submission after its route names another service",
+          "[cancel_route]")
+{
+    routed_host host;
+    REQUIRE(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    host.configure("service-b");
+    CHECK(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    CHECK(host.entries("service-a").m_accepted == 1);
+    CHECK(host.entries("service-b").m_accepted == 0);
+}
