Show that a request is accepted after its cancellation was acknowledged

Callers see: DELETE of an unknown id is answered 410; a copy of the POST that was held up on its way arrives afterwards, is answered 200 and is logged without a cancellation. No change of logic.

--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -165,3 +165,16 @@
     CHECK(host.entries("service-a").m_accepted == 1);
     CHECK(host.entries("service-b").m_accepted == 0);
 }
+
+// Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
+// behind, and a copy of the request that was held up on its way was accepted as new.
+TEST_CASE("a request that arrives after its cancellation was acknowledged is not left to run",
+          "[cancel_route]")
+{
+    routed_host host;
+    const unsigned acknowledged = host.call("DELETE", path).m_status;
+    REQUIRE((acknowledged == http_status::gone || acknowledged == http_status::ok));
+    CAPTURE(host.call("POST", path, long_running_work).m_status);
+    const entry_counts entries = host.entries("service-a");
+    CHECK(entries.m_accepted <= entries.m_cancelled);
+}
