Test that stop orders go on while a worker lists a cancelled run

An owner's shard and a worker that lists a run whatever it is ordered.

The platform allows 3 s and the time of a stop.

--- /dev/null
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -0,0 +1,341 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "support/virtual_pool.h"
+
+namespace guavabay {
+
+namespace {
+
+constexpr resources worker_size{16000, 32768, 0};
+constexpr resources small_task{2000, 1000, 0};
+constexpr milliseconds time_step{10};
+
+/// How long a worker delays its answer to a hold that renews a lease, with and without runs.
+constexpr milliseconds wait_with_runs{300};
+constexpr milliseconds wait_idle{900};
+
+/// Longest time between two stop orders for a run that its worker lists.
+constexpr milliseconds max_stop_gap{2200};
+
+/// Longest time from the end of all disturbances to the first stop order. The platform wants the
+/// run gone after a calm time of this length and the time that a stop takes.
+constexpr milliseconds max_first_stop{3000};
+
+/// The Unix time at a moment of the virtual clock.
+wall_time unix_time_at(time_point now)
+{
+    return wall_time(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) +
+                     seconds(1700000000));
+}
+
+/// An owner whose only worker lists a run of a cancelled submission, whatever the owner orders.
+struct lasting_run {
+    explicit lasting_run(std::uint64_t seed) : m_random(seed)
+    {
+        m_state.m_service = service_id("s");
+        m_state.m_token = fencing_token(5);
+        m_state.m_next_run = 5LL << 20U;
+        m_state.m_may_start = true;
+        m_state.m_may_hold = true;
+        finish_replay(m_state, m_now, unix_time_at(m_now));
+        m_listing.m_id = worker_id("w");
+        m_listing.m_machine = machine_id("m");
+        m_listing.m_address = "10.0.0.1:80";
+        m_listing.m_service = m_state.m_service;
+        m_listing.m_labels = {"a", "r"};
+        m_listing.m_capacity = worker_size;
+        m_listing.m_incarnation_start_ms = 1000;
+        update_worker(m_state, m_listing, m_now);
+        step_for(milliseconds(500));
+        submission work = make_submission({1}, small_task, milliseconds(1000));
+        work.m_steps[0].m_long_running = true;
+        admit(m_state, m_id, queue_id("q"), work, m_now, unix_time_at(m_now));
+        step_for(milliseconds(500));
+    }
+
+    int pick(int low, int high) { return std::uniform_int_distribution<int>(low, high)(m_random); }
+
+    /// Cancels the submission; the cancellation is stored at once.
+    void cancel_submission()
+    {
+        REQUIRE(cancel(m_state, m_id));
+        store_entries();
+    }
+
+    void store_entries()
+    {
+        if (const std::optional<log_batch> batch = take_batch(m_state)) {
+            mark_batch_stored(m_state, *batch, unix_time_at(m_now));
+        }
+    }
+
+    void step_for(milliseconds length)
+    {
+        for (const time_point end = m_now + length; m_now < end;) {
+            step();
+        }
+    }
+
+    void step()
+    {
+        m_now += time_step;
+        store_entries();
+        deliver_hold();
+        plan(m_state, m_now, unix_time_at(m_now));
+        for (worker_order& order : std::exchange(m_state.m_orders, {})) {
+            if (order.m_kind == worker_order::kind::stop && order.m_address == m_address) {
+                m_stops.push_back(m_now);
+            }
+            if (order.m_kind == worker_order::kind::start) {
+                m_run = {order.m_task, order.m_run};
+            }
+            const order_outcome outcome = m_calm ? order_outcome::accepted : draw_outcome();
+            const bool no_answer = outcome == order_outcome::unknown;
+            m_answers.push_back(
+                {m_now + milliseconds(no_answer ? 800 : 5), std::move(order), outcome});
+        }
+        for (std::size_t i = 0; i < m_answers.size();) {
+            if (m_answers[i].m_at > m_now) {
+                ++i;
+                continue;
+            }
+            const answer due = m_answers[i];
+            m_answers.erase(m_answers.begin() + static_cast<std::ptrdiff_t>(i));
+            apply_order_answer(m_state, due.m_order, due.m_outcome, m_now, unix_time_at(m_now));
+        }
+        send_hold();
+    }
+
+    /// The worker starts again under its id; its listing names the new incarnation at once.
+    void restart_worker(const std::string& address)
+    {
+        m_address = address;
+        m_clock_zero = m_now;
+        m_listing.m_address = address;
+        m_listing.m_incarnation_start_ms += 1 + (m_now - time_point(seconds(1000))).count() / 1000;
+        update_worker(m_state, m_listing, m_now);
+    }
+
+    order_outcome draw_outcome()
+    {
+        static constexpr order_outcome outcomes[] = {
+            order_outcome::accepted, order_outcome::unknown, order_outcome::unknown,
+            order_outcome::not_sent, order_outcome::refused_busy};
+        return outcomes[pick(0, 4)];
+    }
+
+    void send_hold()
+    {
+        if (m_hold || m_now < m_next_hold) {
+            return;
+        }
+        const std::optional<hold_request> request =
+            next_hold_request(m_state, m_listing.m_id, m_now);
+        if (!request) {
+            return;
+        }
+        const worker_record& worker = *m_state.m_workers.at(m_listing.m_id);
+        const bool waits = worker.m_answered && request->m_deadline_ms;
+        const milliseconds wait = !waits                  ? milliseconds(0)
+                                  : worker.m_runs.empty() ? wait_idle
+                                                          : wait_with_runs;
+        const order_outcome outcome = m_calm           ? order_outcome::accepted
+                                      : pick(0, 9) < 5 ? order_outcome::unknown
+                                                       : order_outcome::accepted;
+        m_hold =
+            hold{m_now,
+                 m_now + wait + (outcome == order_outcome::unknown ? milliseconds(600) : time_step),
+                 request->m_address == m_address ? outcome : order_outcome::unknown};
+    }
+
+    void deliver_hold()
+    {
+        if (!m_hold || m_hold->m_ends_at > m_now) {
+            return;
+        }
+        const hold ended = *m_hold;
+        m_hold.reset();
+        if (ended.m_outcome != order_outcome::accepted) {
+            apply_hold_failure(m_state, m_listing.m_id, ended.m_outcome, m_now);
+            m_next_hold = m_now + milliseconds(200);
+            return;
+        }
+        worker_report report;
+        report.m_clock_ms =
+            std::chrono::duration_cast<milliseconds>(m_now - m_clock_zero).count() + 1000;
+        report.m_incarnation_start_ms = m_listing.m_incarnation_start_ms;
+        if (m_run) {
+            report.m_running.push_back({m_run->first, m_run->second, "", 100, 0});
+        }
+        if (m_calm && m_first_calm_report == time_point{}) {
+            m_first_calm_report = m_now;
+        }
+        apply_report(m_state, m_listing.m_id, report, ended.m_sent, m_now, unix_time_at(m_now));
+        m_next_hold = m_now + time_step;
+    }
+
+    struct answer {
+        time_point m_at;
+        worker_order m_order;
+        order_outcome m_outcome;
+    };
+
+    struct hold {
+        time_point m_sent;
+        time_point m_ends_at;
+        order_outcome m_outcome;
+    };
+
+    const submission_id m_id{"0123456789abcdef"};
+    std::mt19937_64 m_random;
+    time_point m_now{seconds(1000)};
+    shard m_state;
+    worker_listing m_listing;
+    std::string m_address = "10.0.0.1:80"; ///< Where the worker answers.
+    time_point m_clock_zero{seconds(900)};
+    std::optional<std::pair<task_name, run_number>> m_run; ///< As the worker lists it.
+    bool m_calm = true;                                    ///< All orders and holds are answered.
+    std::vector<answer> m_answers;
+    std::optional<hold> m_hold;
+    time_point m_next_hold{};
+    time_point m_first_calm_report{};
+    std::vector<time_point> m_stops; ///< When stop orders were sent to the worker.
+};
+
+/// Lets a calm time pass, and checks that stop orders begin soon and go on.
+void check_stops(lasting_run& lasting)
+{
+    lasting.m_calm = true;
+    lasting.m_first_calm_report = {};
+    lasting.m_stops.clear();
+    const time_point begin = lasting.m_now;
+    lasting.step_for(milliseconds(12000));
+    REQUIRE(lasting.m_first_calm_report != time_point{});
+    REQUIRE_FALSE(lasting.m_stops.empty());
+    CHECK(to_milliseconds(lasting.m_stops.front() - begin) <=
+          static_cast<double>(max_first_stop.count()));
+    lasting.m_stops.push_back(lasting.m_now);
+    duration longest{};
+    for (std::size_t i = 1; i < lasting.m_stops.size(); ++i) {
+        longest = std::max(longest, lasting.m_stops[i] - lasting.m_stops[i - 1]);
+    }
+    CHECK(to_milliseconds(longest) <= static_cast<double>(max_stop_gap.count()));
+}
+
+} // namespace
+
+// Guards against cancelled work that runs on: no further stop order for a run that its worker
+// lists, after a stop was answered.
+TEST_CASE("a stop is repeated while the worker lists the run", "[cancelled_work]")
+{
+    lasting_run lasting(1);
+    REQUIRE(lasting.m_run);
+    lasting.cancel_submission();
+    check_stops(lasting);
+}
+
+// Guards against the same after calls to the worker failed, it restarted under its id, its lease
+// ended, or it was missing from the list for a while.
+TEST_CASE("stops go on once a worker answers again", "[cancelled_work]")
+{
+    const std::uint64_t seed = GENERATE(range(1, 121));
+    CAPTURE(seed);
+    lasting_run lasting(seed);
+    REQUIRE(lasting.m_run);
+    const bool cancel_first = lasting.pick(0, 1) == 0;
+    if (cancel_first) {
+        lasting.cancel_submission();
+    }
+    lasting.m_calm = false;
+    bool listed = true;
+    const int turns = lasting.pick(1, 12);
+    for (int i = 0; i < turns; ++i) {
+        switch (lasting.pick(0, 6)) {
+        case 0:
+            lasting.restart_worker("10.0.0.1:80");
+            listed = true;
+            break;
+        case 1:
+            lasting.restart_worker("10.0.0." + std::to_string(i + 2) + ":80");
+            listed = true;
+            break;
+        case 2:
+            unlist_worker(lasting.m_state, lasting.m_listing.m_id, lasting.m_now);
+            listed = false;
+            break;
+        case 3:
+            lasting.m_state.m_may_hold = !lasting.m_state.m_may_hold;
+            break;
+        default:
+            break;
+        }
+        lasting.step_for(milliseconds(lasting.pick(50, 2500)));
+    }
+    lasting.m_state.m_may_hold = true;
+    if (!listed) {
+        update_worker(lasting.m_state, lasting.m_listing, lasting.m_now);
+    }
+    if (!cancel_first) {
+        lasting.cancel_submission();
+    }
+    check_stops(lasting);
+}
+
+// Guards against cancelled work that runs on: a run is listed again after its stop was answered,
+// with its number or another, in the same incarnation of its worker or the next one.
+TEST_CASE("stops begin anew for a run that is listed again after its stop", "[cancelled_work]")
+{
+    const bool restarts = GENERATE(false, true);
+    const int later_run = GENERATE(0, 1);
+    CAPTURE(restarts, later_run);
+    lasting_run lasting(1);
+    REQUIRE(lasting.m_run);
+    const std::pair<task_name, run_number> run = *lasting.m_run;
+    lasting.cancel_submission();
+    lasting.step_for(milliseconds(500));
+    REQUIRE_FALSE(lasting.m_stops.empty());
+    lasting.m_run.reset();
+    lasting.step_for(milliseconds(2000));
+    REQUIRE(lasting.m_state.m_workers.at(lasting.m_listing.m_id)->m_runs.empty());
+    if (restarts) {
+        lasting.restart_worker("10.0.0.1:80");
+    }
+    lasting.m_run = {run.first, run_number(run.second.get() + later_run)};
+    check_stops(lasting);
+}
+
+// Guards against the same when the owner that executed the cancellation could not reach the worker
+// and the next one can.
+TEST_CASE("the next owner stops the runs of cancelled submissions", "[cancelled_work]")
+{
+    const bool released = GENERATE(false, true);
+    CAPTURE(released);
+    virtual_pool pool(2, worker_size, 62);
+    pool.run_for(milliseconds(200));
+    submission work = make_submission({1}, small_task, milliseconds(1000));
+    work.m_steps[0].m_long_running = true;
+    pool.submit("a", work);
+    pool.run_for(milliseconds(500));
+    const auto cut =
+        std::find_if(pool.m_workers.begin(), pool.m_workers.end(),
+                     [](const virtual_worker& worker) { return !worker.m_runs.empty(); });
+    REQUIRE(cut != pool.m_workers.end());
+    cut->m_partitioned_owners = {0, 1};
+    pool.cancel("a");
+    pool.run_for(milliseconds(300));
+    if (released) {
+        pool.release();
+    }
+    pool.current_owner().m_alive = false;
+    pool.change_owner();
+    pool.run_for(milliseconds(1000));
+    REQUIRE_FALSE(cut->m_runs.empty());
+    cut->m_partitioned_owners.clear();
+    pool.run_for(milliseconds(500));
+    CHECK(cut->m_runs.empty());
+    CHECK(pool.violations().empty());
+}
+
+} // namespace guavabay
