Show that a task starts after the cancellation of its submission

Callers see: the cancellation of an unknown submission leaves nothing behind; the request that arrives afterwards is accepted, and its task starts. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -338,4 +338,17 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
+// behind, and a copy of the request that was held up on its way was accepted as new.
+TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
+{
+    virtual_pool pool(2, worker_size, 61);
+    pool.run_for(milliseconds(200));
+    pool.cancel("a");
+    pool.run_for(milliseconds(100));
+    pool.submit("a", make_submission({1}, small_task, milliseconds(1500)));
+    pool.run_for(milliseconds(500));
+    CHECK(pool.m_starts["a.0.0.0"] == 0);
+}
+
 } // namespace guavabay
