Show that a run is given up at the first report after its lease's end

The first report clears m_lease_ended and leaves m_lease_until in the past, since the hold carried no deadline; the next plan ends the incarnation again (check_worker). Callers see: a task that goes on may be started a second time elsewhere, and a stop waits for one more hold. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -338,6 +338,34 @@
     CHECK(pool.violations().empty());
 }
 
+// Guards against stops that are late and work that is started a second time: after the end of a
+// lease, the first report of the worker showed that its run goes on, and the next plan gave the run
+// up again.
+TEST_CASE("a run that a worker lists after its lease seemed to end is kept", "[cancelled_work]")
+{
+    lasting_run lasting(1);
+    REQUIRE(lasting.m_run);
+    worker_record& worker = *lasting.m_state.m_workers.at(lasting.m_listing.m_id);
+    lasting.m_calm = false;
+    while (!worker.m_lease_ended) {
+        lasting.m_hold.reset();
+        apply_hold_failure(lasting.m_state, lasting.m_listing.m_id, order_outcome::unknown,
+                           lasting.m_now);
+        lasting.step();
+    }
+    lasting.m_calm = true;
+    lasting.m_hold.reset();
+    lasting.m_next_hold = {};
+    lasting.m_first_calm_report = {};
+    while (lasting.m_first_calm_report == time_point{}) {
+        lasting.step();
+    }
+    // The step has planned after the report.
+    CHECK_FALSE(worker.m_lease_ended);
+    const submission_record& record = *lasting.m_state.m_submissions.at(lasting.m_id);
+    CHECK(record.m_occurrences[0].m_steps[0][0].m_phase == task_phase::placed);
+}
+
 // Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
 // behind, and a copy of the request that was held up on its way was accepted as new.
 TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
