Show that a refusal at a former address unlists a worker

A hold that was on its way to a worker's former address is refused with 421 by the worker that is there now, after the list named the new address. apply_hold_failure marks the worker as unlisted, and nothing lists it again until its entry changes. Callers see: the worker gets no starts. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -224,6 +224,20 @@
     CHECK(to_milliseconds(longest) <= static_cast<double>(max_stop_gap.count()));
 }
 
+/// Lets the work end and the worker start again at another address, while a hold is on its way to
+/// the former one, where another worker refuses it.
+void move_while_held(lasting_run& lasting)
+{
+    lasting.m_run.reset();
+    lasting.cancel_submission();
+    lasting.step_for(milliseconds(3000));
+    lasting.m_calm = false;
+    lasting.m_hold = lasting_run::hold{lasting.m_now, lasting.m_now + milliseconds(100),
+                                       order_outcome::other_incarnation};
+    lasting.restart_worker("10.0.0.2:80");
+    lasting.step_for(milliseconds(100));
+}
+
 } // namespace
 
 // Guards against cancelled work that runs on: no further stop order for a run that its worker
@@ -366,6 +380,19 @@
     CHECK(record.m_occurrences[0].m_steps[0][0].m_phase == task_phase::placed);
 }
 
+// Guards against a worker that gets no starts: a call to its former address was refused by the
+// worker that is there now, and the worker that the list names elsewhere counted as unlisted.
+TEST_CASE("a refusal at a worker's former address does not unlist it", "[cancelled_work]")
+{
+    lasting_run lasting(1);
+    move_while_held(lasting);
+    lasting.m_calm = true;
+    lasting.step_for(milliseconds(4000));
+    const worker_record& worker = *lasting.m_state.m_workers.at(lasting.m_listing.m_id);
+    CHECK(worker.m_answered);
+    CHECK(worker.m_listed);
+}
+
 // Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
 // behind, and a copy of the request that was held up on its way was accepted as new.
 TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
