Show that a listed worker is no longer read after a refusal at a former address

The same, and the worker cannot be reached for 3 s and its lease afterwards: its record is removed though the list names it, and its entry does not change again. Callers see: no owner reads the worker, and it gets no work. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -393,6 +393,26 @@
     CHECK(worker.m_listed);
 }
 
+// Guards against a worker that no owner reads any more: the same, and the worker was cut off for a
+// while afterwards, so that its record was removed though the list names it.
+TEST_CASE("a listed worker is read again after a refusal at its former address", "[cancelled_work]")
+{
+    lasting_run lasting(1);
+    move_while_held(lasting);
+    for (int i = 0; i < 500; ++i) {
+        lasting.m_hold.reset();
+        apply_hold_failure(lasting.m_state, lasting.m_listing.m_id, order_outcome::unknown,
+                           lasting.m_now);
+        remove_departed_workers(lasting.m_state, lasting.m_now);
+        lasting.step();
+    }
+    lasting.m_calm = true;
+    lasting.step_for(milliseconds(1000));
+    const bool is_read =
+        next_hold_request(lasting.m_state, lasting.m_listing.m_id, lasting.m_now).has_value();
+    CHECK(is_read);
+}
+
 // Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
 // behind, and a copy of the request that was held up on its way was accepted as new.
 TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
