Show that a refusal at a logged address ends the wait for a worker

A new owner knows a worker by the address in the log, which is that of its first use. The refusal of another worker that is there now erases it from the awaited workers, although it may run the former owner's tasks elsewhere. Callers see: a task may run twice. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -413,6 +413,25 @@
     CHECK(is_read);
 }
 
+// Guards against duplicate runs: a new owner knew a worker by the address in the log, and the
+// refusal of the worker that is there now counted as the end of all its runs.
+TEST_CASE("a refusal at a logged address does not end the wait for a former owner's worker",
+          "[cancelled_work]")
+{
+    shard state;
+    const time_point now(seconds(1000));
+    const worker_id id("w");
+    state.m_service = service_id("s");
+    state.m_token = fencing_token(5);
+    replay_entry(state, log_worker_used{id, "10.0.0.1:80"}, now, unix_time_at(now));
+    replay_entry(state, log_ownership_taken{4}, now, unix_time_at(now));
+    finish_replay(state, now, unix_time_at(now));
+    REQUIRE(state.m_awaited_workers.contains(id));
+    // The worker has started again at another address, where the former owner gave it work.
+    apply_hold_failure(state, id, order_outcome::other_incarnation, now + milliseconds(20));
+    CHECK(state.m_awaited_workers.contains(id));
+}
+
 // Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
 // behind, and a copy of the request that was held up on its way was accepted as new.
 TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
