Show that a worker that moved to another service is still held

A worker that starts again under its id in another service's pool is held by the owners of both services for as long as it answers. By reading, not run: the one with the lower fencing token is refused and gives its shard up; its successor has a higher token and deposes the other. No change of logic.

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -432,6 +432,25 @@
     CHECK(state.m_awaited_workers.contains(id));
 }
 
+// Guards against two owners that hold one worker and depose each other by their fencing tokens: the
+// worker started again under its id in another service's pool.
+TEST_CASE("a worker that serves another service is let go", "[cancelled_work]")
+{
+    lasting_run lasting(1);
+    lasting.m_run.reset();
+    lasting.cancel_submission();
+    lasting.step_for(milliseconds(3000));
+    lasting.m_listing.m_service = service_id("t");
+    lasting.restart_worker("10.0.0.1:80");
+    for (int i = 0; i < 1500; ++i) {
+        lasting.step();
+        remove_departed_workers(lasting.m_state, lasting.m_now);
+    }
+    const bool is_read =
+        next_hold_request(lasting.m_state, lasting.m_listing.m_id, lasting.m_now).has_value();
+    CHECK_FALSE(is_read);
+}
+
 // Guards against cancelled work that runs: a cancellation of an unknown submission left nothing
 // behind, and a copy of the request that was held up on its way was accepted as new.
 TEST_CASE("no task starts of a submission whose cancellation came first", "[cancelled_work]")
