Show that a worker's lease ends while holds try dead connections

Callers see: after the open connections to a worker fell silent, all its runs are lost although new connections work: holds wait on one kept connection after the other until the lease has ended. No change of logic.

Run with eight kept connections of orders, failed: CHECK_FALSE( any_lost ) !true

--- a/tests/dispatch/silent_connections_test.cpp
+++ b/tests/dispatch/silent_connections_test.cpp
@@ -242,3 +242,16 @@
     CHECK(to_milliseconds(read_clock() - cancelled_at) <=
           static_cast<double>(max_stop_delay.count()));
 }
+
+// Guards against work that is lost: a lease was to be renewed on one dead connection after the
+// other, until it ended.
+TEST_CASE("runs keep their lease although kept connections to their worker fell silent",
+          "[silent_connections]")
+{
+    held_worker held;
+    held.start_tasks(8);
+    held.m_worker.silence_open_connections();
+    const bool any_lost = run_until(
+        held.m_context, [&] { return held.m_worker.running(held.name(0).str()) == 0; }, seconds(5));
+    CHECK_FALSE(any_lost);
+}
