Show that a silent connection between hosts fails two calls

Only calls that get no reply in time show that a connection between hosts is dead, and it is given up after the second one. Callers see: a cancellation that is forwarded over it is unanswered twice for up to 2.8 s each (the time limit of a call to an owner), while it has to be confirmed within 4 s. Greetings each 500 ms do not show it, since they have no reply. No change of logic.

--- a/tests/peer/host_link_test.cpp
+++ b/tests/peer/host_link_test.cpp
@@ -86,6 +86,19 @@
         co_await wait_for(m_context, hold_time);
     }
 
+    /// Answers all calls on each connection but the first, on which nothing is sent.
+    asio::awaitable<void> fall_silent_first()
+    {
+        error_code error;
+        const asio::ip::tcp::socket silent = co_await m_acceptor.async_accept(to_coroutine(error));
+        while (!error) {
+            asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+            const std::uint64_t number = co_await read_call(socket);
+            const std::string reply = encode_frame(number, owner_reply());
+            co_await asio::async_write(socket, asio::buffer(reply), to_coroutine(error));
+        }
+    }
+
 private:
     asio::awaitable<std::uint64_t> read_call(asio::ip::tcp::socket& socket)
     {
@@ -186,3 +199,25 @@
                                  std::move(large), seconds(30), std::nullopt);
     CHECK(reply);
 }
+
+// Guards against cancelled work that runs on: a call to an owner may take 2.8 s, and a connection
+// that had fallen silent failed two of them, while a cancellation has to be confirmed within 4 s.
+// Nothing but such calls showed that the connection was dead: greetings have no reply.
+TEST_CASE("a connection that fell silent fails one call at most", "[host_link]")
+{
+    linked_peer linked;
+    asio::co_spawn(linked.m_context, linked.m_peer.fall_silent_first(), asio::detached);
+    for (int i = 0; i < 4; ++i) {
+        linked.m_link.send(linked.m_peer.address(), greeting());
+        linked.m_context.run_for(milliseconds(500));
+    }
+    int calls = 0;
+    bool answered = false;
+    while (!answered && calls < 10) {
+        ++calls;
+        answered = call_once(linked.m_context, linked.m_link, linked.m_peer.address(),
+                             relay_request(), reply_timeout, std::nullopt)
+                       .has_value();
+    }
+    CHECK(calls <= 2);
+}
