Test cancellations beside a store outage and a release

A cancellation that was decided while the store refused the host is stored within 2 s of its return. One beside a release is stored if and only if it is confirmed, and repeated afterwards it is not acknowledged by the former owner.

--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -123,6 +123,21 @@
     std::shared_ptr<shard_owner> m_owner;
 };
 
+/// True if the log says that a submission is cancelled.
+bool is_cancelled(const faulty_store_owner& owned, const std::string& id)
+{
+    for (const std::string& value : owned.m_store.values("l/service-a/")) {
+        const std::optional<std::vector<log_entry>> entries = decode_log(value);
+        for (const log_entry& entry : entries.value_or(std::vector<log_entry>())) {
+            const auto* cancelled = std::get_if<log_cancelled>(&entry);
+            if (cancelled != nullptr && cancelled->m_id.str() == id) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 // Guards against a shard that nobody serves: a malformed key ended the loading with an exception
@@ -209,6 +224,49 @@
     CHECK(accepted == owner_answer::done);
 }
 
+// Guards against cancelled work that runs on: its cancellation had been decided while the store
+// refused this host, and is due soon after the store answers again.
+TEST_CASE("a cancellation that waits for the store is stored soon after the store is back",
+          "[owner_faults]")
+{
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    owned.m_store.m_refuse_status = 503;
+    std::optional<owner_answer> answer;
+    owned.start_cancel("0000000000000001", answer);
+    REQUIRE(run_until(owned.m_context, [&] { return answer.has_value(); }));
+    CHECK(*answer == owner_answer::unknown);
+    CHECK_FALSE(is_cancelled(owned, "0000000000000001"));
+    owned.m_store.m_refuse_status = 0;
+    CHECK(run_until(
+        owned.m_context, [&] { return is_cancelled(owned, "0000000000000001"); }, seconds(2)));
+    CHECK(owned.m_owner->state().m_open_submissions.empty());
+}
+
+// Guards against a cancellation that is confirmed and lost when its owner releases the shard.
+TEST_CASE("a cancellation beside a release is stored or not confirmed", "[owner_faults]")
+{
+    const int delay_ms = GENERATE(0, 1, 5, 20, 40);
+    CAPTURE(delay_ms);
+    faulty_store_owner owned;
+    owned.start();
+    REQUIRE(owned.submit("0000000000000001") == owner_answer::done);
+    std::optional<owner_answer> answer;
+    owned.start_cancel("0000000000000001", answer);
+    owned.m_context.run_for(milliseconds(delay_ms));
+    asio::co_spawn(owned.m_context, owned.m_owner->release(), asio::detached);
+    REQUIRE(run_until(owned.m_context, [&] {
+        return answer.has_value() && !owned.m_store.contains(owner_key(service));
+    }));
+    CHECK(is_cancelled(owned, "0000000000000001") == (*answer == owner_answer::done));
+    // The caller repeats the cancellation, here or elsewhere: only an owner may acknowledge it.
+    std::optional<owner_answer> repeated;
+    owned.start_cancel("0000000000000001", repeated);
+    REQUIRE(run_until(owned.m_context, [&] { return repeated.has_value(); }));
+    CHECK(*repeated == owner_answer::not_owner);
+}
+
 // Guards against callers that are told that their submission was not accepted although it is stored
 // and will run: the answer to its write was lost, and the store refused the attempt through a peer.
 TEST_CASE("a write whose answer was lost does not count as refused when a peer's attempt is",
