--- a/tests/dispatch/cancel_route_test.cpp
+++ b/tests/dispatch/cancel_route_test.cpp
@@ -178,3 +178,24 @@
     const entry_counts entries = host.entries("service-a");
     CHECK(entries.m_accepted <= entries.m_cancelled);
 }
+
+// Guards against cancellations that are confirmed too late: after the host's open connections to
+// the store had fallen silent, each call waited for an answer on another one of them.
+TEST_CASE("a cancellation is confirmed in time although connections to the store fell silent",
+          "[cancel_route]")
+{
+    const int phase_ms = GENERATE(0, 150, 300);
+    CAPTURE(phase_ms);
+    routed_host host;
+    REQUIRE(host.call("POST", path, long_running_work).m_status == http_status::ok);
+    host.m_context.run_for(seconds(2) + milliseconds(phase_ms));
+    host.m_store.silence_open_connections();
+    const time_point begin = read_clock();
+    constexpr int max_calls = 50;
+    int calls = 0;
+    while (host.call("DELETE", path).m_status != http_status::ok && ++calls < max_calls) {
+        host.m_context.run_for(milliseconds(100));
+    }
+    // The platform's limit for the confirmation of a cancellation.
+    CHECK(to_milliseconds(read_clock() - begin) <= 4000);
+}
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -258,7 +258,7 @@
     co_return !error;
 }
 
-asio::awaitable<void> paced_store::serve(asio::ip::tcp::socket socket)
+asio::awaitable<void> paced_store::serve(asio::ip::tcp::socket socket, std::size_t number)
 {
     error_code error;
     socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -269,12 +269,18 @@
         if (error) {
             co_return;
         }
+        if (number < m_first_live) {
+            continue;
+        }
         const bool is_commit = request.target().starts_with("/v1/kv-txn");
         const http::response<http::string_body> response = co_await answer(std::move(request));
         if (is_commit && m_lose_answers > 0) {
             --m_lose_answers;
             co_return;
         }
+        if (number < m_first_live) {
+            continue;
+        }
         std::ostringstream text;
         text << response;
         if (!co_await send(socket, text.str())) {
@@ -291,7 +297,7 @@
         if (error) {
             co_return;
         }
-        asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        asio::co_spawn(m_context, serve(std::move(socket), m_connections++), asio::detached);
     }
 }
 
--- a/tests/support/paced_store.h
+++ b/tests/support/paced_store.h
@@ -37,6 +37,9 @@
     /// Number of times a record's value was sent, complete or not.
     [[nodiscard]] std::size_t copies_sent(const std::string& key) const;
 
+    /// Nothing is read from or sent on the connections that are open now any more; new ones work.
+    void silence_open_connections() { m_first_live = m_connections; }
+
     std::size_t m_bytes_per_s = 0;  ///< Of all answers together; zero sends without delay.
     unsigned m_refuse_status = 0;   ///< Status that every call is refused with; zero serves calls.
     unsigned m_refuse_removals = 0; ///< Number of commits with removals that are refused.
@@ -45,7 +48,7 @@
 
 private:
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket, std::size_t number);
     /// Produces the answer to a call; a watch waits for a change.
     asio::awaitable<http::response<http::string_body>>
     answer(http::request<http::string_body> request);
@@ -66,6 +69,8 @@
     std::map<std::string, std::size_t> m_copies;
     std::int64_t m_revision = 1;
     std::int64_t m_next_lease = 1;
+    std::size_t m_connections = 0;
+    std::size_t m_first_live = 0; ///< Earlier connections are silent.
     time_point m_link_free_at{};
 };
 
