Store the cancellation of an unknown submission before it is answered

What callers saw: DELETE of an id that its owner did not know was answered 410 and left nothing behind; a copy of the request that arrived later was accepted and ran. Cause: a cancellation was durable only for known submissions. Evidence: "a request that arrives after its cancellation was acknowledged is not left to run" and "no task starts of a submission whose cancellation came first" failed before (one acceptance without a cancellation; one start). Fix: the cancellation is written to the log in any case and answered 410 only then, which also proves the ownership; a request that comes later is accepted as cancelled, with both entries in one batch. Result: both pass, with [owner_faults], [stray_runs] and [shard].

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -719,22 +719,27 @@
     }
     note_cancellation(m_shard, id, read_boot_clock());
     flush_log_lines();
-    if (!guavabay::cancel(m_shard, id)) {
-        reply.m_answer = owner_answer::none;
-        co_return reply;
-    }
+    const bool known = guavabay::cancel(m_shard, id);
     const auto found = m_shard.m_submissions.find(id);
-    if (found->second->m_final_decided && found->second->m_visible == found->second->m_final) {
+    if (known && found->second->m_final_decided &&
+        found->second->m_visible == found->second->m_final) {
         reply.m_answer = owner_answer::done;
         co_return reply;
     }
+    // Also an unknown submission is reported as such only with the entry in the log: the write
+    // proves that no other host has taken the shard over and accepted the submission.
     const bool stored = co_await wait_until_stored(id, awaited_entry::cancelled, caller_timeout) ==
                         wait_result::stored;
     if (!stored) {
         note_cancellation_open(m_shard, id, read_boot_clock());
         flush_log_lines();
     }
-    reply.m_answer = stored ? owner_answer::done : owner_answer::unknown;
+    if (stored) {
+        reply.m_answer = known ? owner_answer::done : owner_answer::none;
+    }
+    else {
+        reply.m_answer = owner_answer::unknown;
+    }
     schedule_plan();
     co_return reply;
 }
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -158,6 +158,11 @@
     log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
         log_accepted{id, queue, record->m_accepted_ms, record->m_definition});
+    if (state.m_cancelled_early.erase(id) > 0) {
+        // One batch holds both entries, so that no task of the submission starts.
+        record->m_cancel_requested = true;
+        state.m_pending.m_entries.emplace_back(log_cancelled{id});
+    }
     state.m_open_submissions.insert(record.get());
     state.m_submissions[id] = std::move(record);
     state.m_ranking_stale = true;
@@ -180,6 +185,8 @@
 {
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
+        state.m_cancelled_early.try_emplace(id, 0);
+        state.m_pending.m_entries.emplace_back(log_cancelled{id});
         return false;
     }
     submission_record& record = *found->second;
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -287,6 +287,13 @@
             ++it;
         }
     }
+    std::erase_if(state.m_cancelled_early, [&](const auto& entry) {
+        const bool expired = entry.second != 0 && entry.second < cutoff_ms;
+        if (expired) {
+            state.m_pending.m_entries.emplace_back(log_purged{entry.first});
+        }
+        return expired;
+    });
 }
 
 } // namespace
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -46,6 +46,7 @@
     }
     state.m_open_submissions.insert(record.get());
     state.m_submissions[entry.m_id] = std::move(record);
+    state.m_cancelled_early.erase(entry.m_id);
 }
 
 void replay_task_end(shard& state, const log_task_ended& entry)
@@ -70,6 +71,9 @@
 {
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
+        if (final_state == submission_state::canceled) {
+            state.m_cancelled_early[id] = closed_ms;
+        }
         return;
     }
     submission_record& record = *found->second;
@@ -214,6 +218,7 @@
     }
     else if (const auto* forgotten = std::get_if<log_purged>(&entry)) {
         state.m_submissions.erase(forgotten->m_id);
+        state.m_cancelled_early.erase(forgotten->m_id);
     }
     else if (const auto* used = std::get_if<log_worker_used>(&entry)) {
         auto worker = std::make_unique<worker_record>();
@@ -459,6 +464,10 @@
                 close_submission(state, *found->second, submission_state::canceled, wall);
                 found->second->m_visible = submission_state::canceled;
             }
+            const auto early = state.m_cancelled_early.find(cancelled->m_id);
+            if (early != state.m_cancelled_early.end()) {
+                early->second = unix_ms(wall);
+            }
         }
     }
     for (const end_position& end : batch.m_ends) {
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -253,6 +253,9 @@
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
     std::unordered_map<submission_id, refused_submission> m_refused;
+    /// Submissions that were cancelled before they were accepted, with the Unix time at which that
+    /// became durable, in milliseconds; zero before. A copy of the request may still be on its way.
+    std::unordered_map<submission_id, std::int64_t> m_cancelled_early;
     std::map<worker_id, std::unique_ptr<worker_record>> m_workers;
 
     log_batch m_pending; ///< Entries that have not been handed out for writing.
@@ -326,7 +329,8 @@
 /// entry is stored or the submission is unknown.
 void withdraw(shard& state, const submission_id& id);
 
-/// Queues the cancellation of a submission in the pending batch; false if the id is unknown.
+/// Queues the cancellation of a submission in the pending batch; false if the id is unknown. The
+/// cancellation of an unknown id is queued too and applies to a request that arrives later.
 bool cancel(shard& state, const submission_id& id);
 
 /// The state to report to callers; empty if the submission is unknown or not stored yet.
