Keep the runs of a worker that answers after its lease seemed to end

What callers could see: a task that goes on is started a second time elsewhere, and the stop of a cancelled run waits for one more hold (shown by a test only). Cause: the first report cleared the mark of the ended lease and left its end in the past, so the next plan ended the lease again. Evidence: "a run that a worker lists after its lease seemed to end is kept" failed before. Fix: the first report after the end counts like a first answer. Result: it passes, with [shard], [worker_incarnation] and [inherited_work].

--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -530,7 +530,8 @@
         worker.m_clock_ms = report.m_clock_ms;
         worker.m_clock_at = now;
     }
-    if (!worker.m_answered) {
+    if (!worker.m_answered || worker.m_lease_ended) {
+        // A lease that was granted before and still runs lasts no longer than one granted now.
         worker.m_answered = true;
         state.m_awaited_workers.erase(id);
         worker.m_lease_until =
