--- a/tests/dispatch/worker_directory_test.cpp
+++ b/tests/dispatch/worker_directory_test.cpp
@@ -103,7 +103,9 @@
         fleet.m_store.put(worker_key(worker_count + i), make_entry("service-a"));
         fleet.m_context.run_for(milliseconds(100));
     }
-    CHECK(fleet.m_workers.size() == worker_count + 30);
+    CHECK(run_until(
+        fleet.m_context, [&] { return fleet.m_workers.size() == worker_count + 30; },
+        max_news_delay));
     CHECK(fleet.m_store.copies_sent(worker_key(1)) == 1);
 }
 
