Play random cancellations against the simulated pool

Change: the simulated pool executes holds late too, lets deadlines of late orders count from their arrival, moves workers to another address or service, answers for another lifetime, and delays answers and writes; each is a switch that is off elsewhere. It records runs of cancelled submissions that go on over 3 s and the stop time in calm, and starts that are ordered after a cancellation is stored. A start that was sent before the cancellation and arrives after it is judged by how long it runs: the check at the start no longer counts it, but the one at its order does.

--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -1,6 +1,7 @@
 #include "support/virtual_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavabay {
 
@@ -15,6 +16,27 @@
 constexpr milliseconds advice_time_per_worker{10};
 constexpr std::size_t workers_per_rack = 4;
 
+/// Time in which a cancellation has to be confirmed in calm, and in which its runs have to be told
+/// to stop, as the platform allows it.
+constexpr milliseconds cancel_answer_time{4000};
+constexpr milliseconds cancel_time{3000};
+
+/// Calm for this long ends the effect of a disturbance, and of a start that came late.
+constexpr milliseconds calm_time{3000};
+
+/// Time after which an order without an answer counts as unanswered, where answers take time.
+constexpr milliseconds order_time_limit{800};
+
+/// Time that the other service takes to find a new owner.
+constexpr milliseconds other_service_takeover{400};
+constexpr milliseconds other_service_lease{3000};
+
+/// Time between two checks of the runs of cancelled submissions.
+constexpr milliseconds check_interval{10};
+
+/// Name of the other service, to which workers move.
+const service_id other_service("other");
+
 /// How early a task of a repeated submission may start, as the platform allows it.
 constexpr std::int64_t early_start_tolerance_ms = 250;
 
@@ -24,6 +46,12 @@
 /// Longer than any test, so that each incarnation of a worker starts later than the one before.
 constexpr std::int64_t incarnation_distance_ms = 1000000;
 
+/// How late an order arrives that gets no answer.
+milliseconds random_delay(std::mt19937_64& random)
+{
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(2000, 12000)(random));
+}
+
 wall_time wall_at(time_point now)
 {
     return wall_time(std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) +
@@ -32,6 +60,21 @@
 
 } // namespace
 
+std::optional<time_point> last_moment_of_run(const requested_cancellation& cancelled,
+                                             const virtual_run& run, time_point calm_since,
+                                             time_point now)
+{
+    const time_point waited_until = std::max(cancelled.m_asked_at, calm_since) + cancel_answer_time;
+    if (!cancelled.m_stored_at && now < waited_until) {
+        return std::nullopt;
+    }
+    const time_point due =
+        cancelled.m_stored_at ? std::min(*cancelled.m_stored_at, waited_until) : waited_until;
+    const time_point late_start = run.m_started_late ? run.m_started : time_point{};
+    return std::max({due + cancel_time, calm_since + calm_time, late_start + calm_time}) +
+           stop_time;
+}
+
 virtual_pool::virtual_pool(std::size_t workers, resources each, std::uint64_t seed) : m_random(seed)
 {
     m_contract.m_queue = queue_id("q");
@@ -60,7 +103,7 @@
     auto owner = std::make_unique<virtual_owner>();
     shard& state = owner->m_shard;
     state.m_service = service_id("s");
-    state.m_token = fencing_token(static_cast<std::int64_t>(m_owners.size()) + 1);
+    state.m_token = fencing_token(m_next_token++);
     state.m_next_run = state.m_token.get() << 20;
     if (m_has_route) {
         set_queues(state, {m_contract});
@@ -69,6 +112,10 @@
         for (const log_entry& entry : batch) {
             replay_entry(state, entry, m_now, wall_at(m_now));
         }
+        mark_cancellations(batch);
+    }
+    if (m_owners.empty() || !current_owner().m_shard.m_lost) {
+        disturb();
     }
     finish_replay(state, m_now, wall_at(m_now));
     m_owners.push_back(std::move(owner));
@@ -87,6 +134,11 @@
 }
 
 void virtual_pool::check_start(std::size_t index, const worker_order& order)
+{
+    check_start(index, order, false);
+}
+
+void virtual_pool::check_start(std::size_t index, const worker_order& order, bool is_late)
 {
     const virtual_worker& worker = m_workers[index];
     const std::string text = to_string(order.m_task);
@@ -95,7 +147,8 @@
         m_violations.push_back("UNASKED " + text);
         return;
     }
-    if (m_cancelled.contains(order.m_task.m_submission.str())) {
+    // A start that was sent in time and arrives late is judged by how long it runs.
+    if (!is_late && m_cancelled.contains(order.m_task.m_submission.str())) {
         m_violations.push_back("UNASKED after cancel " + text);
     }
     const submission& definition = submitted->second;
@@ -148,9 +201,9 @@
     }
 }
 
-void virtual_pool::start_run(std::size_t index, const worker_order& order)
+void virtual_pool::start_run(std::size_t index, const worker_order& order, bool is_late)
 {
-    check_start(index, order);
+    check_start(index, order, is_late);
     virtual_worker& worker = m_workers[index];
     const auto submitted = m_submitted.find(order.m_task.m_submission.str());
     if (submitted == m_submitted.end()) {
@@ -159,6 +212,10 @@
     const submission_step& step_definition = submitted->second.m_steps[order.m_task.m_step];
     virtual_run run;
     run.m_started = m_now;
+    run.m_started_late = is_late;
+    m_late_starts += is_late ? 1 : 0;
+    m_late_starts_after_cancel +=
+        is_late && m_cancelled.contains(order.m_task.m_submission.str()) ? 1 : 0;
     std::lognormal_distribution<double> noise(0, m_duration_sigma);
     run.m_total_ms = step_definition.m_long_running
                          ? -1
@@ -194,6 +251,7 @@
     worker.m_next_end = 1;
     worker.m_token = 0;
     worker.m_lease_until = {};
+    disturb();
 }
 
 void virtual_pool::restart_worker(std::size_t index, milliseconds registration_delay)
@@ -204,12 +262,28 @@
     worker.m_incarnation_start_ms += incarnation_distance_ms;
     worker.m_clock_zero = m_now;
     worker.m_registers_at = m_now + registration_delay;
+    disturb();
+}
+
+bool virtual_pool::has_late_order(std::size_t worker) const
+{
+    return std::any_of(m_delayed_orders.begin(), m_delayed_orders.end(),
+                       [worker](const delayed_order& order) { return order.m_worker == worker; });
+}
+
+void virtual_pool::restart_at_other_service(std::size_t index)
+{
+    restart_worker(index, milliseconds(0));
+    m_workers[index].m_listing.m_service = other_service;
 }
 
 order_outcome virtual_pool::carry_out(std::size_t index, const worker_order& order,
-                                      std::int64_t token)
+                                      std::int64_t token, std::optional<time_point> sent_late)
 {
     virtual_worker& worker = m_workers[index];
+    if (worker.m_is_other_lifetime) {
+        return order_outcome::other_incarnation;
+    }
     if (token < worker.m_token) {
         return order_outcome::refused_stale_token;
     }
@@ -230,11 +304,15 @@
                 return order_outcome::refused_ticket;
             }
         }
-        if (order.m_deadline_ms <= clock_of(worker)) {
+        const bool moves = sent_late && m_late_deadlines_move;
+        const milliseconds moved =
+            moves ? std::chrono::duration_cast<milliseconds>(m_now - *sent_late) : milliseconds(0);
+        const std::int64_t deadline_ms = order.m_deadline_ms + moved.count();
+        if (deadline_ms <= clock_of(worker)) {
             return order_outcome::refused_lease_ended;
         }
-        extend_lease(worker, order.m_deadline_ms);
-        start_run(index, order);
+        extend_lease(worker, deadline_ms);
+        start_run(index, order, sent_late.has_value());
         return order_outcome::accepted;
     }
     if (order.m_kind == worker_order::kind::stop) {
@@ -328,10 +406,106 @@
             continue;
         }
         if (m_workers[it->m_worker].m_up) {
-            carry_out(it->m_worker, it->m_order, it->m_token);
+            carry_out(it->m_worker, it->m_order, it->m_token, it->m_sent_at);
         }
         it = m_delayed_orders.erase(it);
     }
+    for (auto it = m_delayed_holds.begin(); it != m_delayed_holds.end();) {
+        if (it->m_at > m_now) {
+            ++it;
+            continue;
+        }
+        virtual_worker& worker = m_workers[it->m_worker];
+        if (worker.m_up && !worker.m_is_other_lifetime && it->m_token >= worker.m_token) {
+            if (it->m_request.m_deadline_ms && m_late_deadlines_move) {
+                *it->m_request.m_deadline_ms +=
+                    std::chrono::duration_cast<milliseconds>(m_now - it->m_sent_at).count();
+            }
+            accept_hold(worker, it->m_request, it->m_token);
+        }
+        it = m_delayed_holds.erase(it);
+    }
+}
+
+void virtual_pool::accept_hold(virtual_worker& worker, const hold_request& request,
+                               std::int64_t token)
+{
+    worker.m_token = token;
+    if (request.m_deadline_ms) {
+        extend_lease(worker, *request.m_deadline_ms);
+    }
+    std::erase_if(worker.m_ends, [&](const reported_end& end) {
+        if (end.m_number > request.m_acked_through) {
+            return false;
+        }
+        if (end.m_outcome == run_end::done) {
+            m_done_acknowledged.insert(end.m_task);
+        }
+        m_failed_acknowledged[end.m_task] += end.m_outcome == run_end::failed ? 1 : 0;
+        return true;
+    });
+}
+
+void virtual_pool::hold_by_other_service()
+{
+    for (virtual_worker& worker : m_workers) {
+        if (!worker.m_up || worker.m_listing.m_service != other_service ||
+            m_now < m_other_service_from) {
+            continue;
+        }
+        if (m_other_service_token == 0 || worker.m_token > m_other_service_token) {
+            m_other_service_token = m_next_token++;
+            m_other_service_from = m_now + other_service_takeover;
+            continue;
+        }
+        worker.m_token = m_other_service_token;
+        worker.m_ends.clear();
+        extend_lease(worker, clock_of(worker) + other_service_lease.count());
+        for (auto& [key, run] : worker.m_runs) {
+            run.m_stop_at = run.m_stop_at == time_point{} ? m_now + stop_time : run.m_stop_at;
+        }
+    }
+}
+
+bool virtual_pool::is_disturbed() const
+{
+    const std::size_t current = m_owners.size() - 1;
+    for (std::size_t i = 0; i < m_owners.size(); ++i) {
+        const virtual_owner& owner = *m_owners[i];
+        // The loss of the shard to another owner is the scheduler's doing.
+        const bool works = owner.m_alive && !owner.m_shard.m_lost;
+        if (i == current ? !owner.m_alive || !owner.m_has_store : works) {
+            return true;
+        }
+    }
+    return !m_delayed_orders.empty() || !m_delayed_holds.empty() ||
+           std::any_of(m_workers.begin(), m_workers.end(), [&](const virtual_worker& worker) {
+               return worker.m_delayed_share > 0 || worker.m_delayed_hold_share > 0 ||
+                      worker.m_lost_hold_share > 0 || worker.m_speed < 1 ||
+                      worker.m_is_other_lifetime || worker.m_up != worker.m_listed ||
+                      worker.m_partitioned_owners.contains(current) ||
+                      m_now < worker.m_registers_at;
+           });
+}
+
+void virtual_pool::check_cancelled_runs()
+{
+    for (const virtual_worker& worker : m_workers) {
+        for (const auto& [key, run] : worker.m_runs) {
+            const auto cancelled = m_cancellations.find(key.first.m_submission.str());
+            if (!worker.m_up || cancelled == m_cancellations.end()) {
+                continue;
+            }
+            ++m_checked_runs;
+            const std::optional<time_point> last =
+                last_moment_of_run(cancelled->second, run, m_calm_since, m_now);
+            if (last && m_now > *last && m_reported_runs.insert(key).second) {
+                m_violations.push_back("UNASKED runs on " + to_string(key.first) + " run " +
+                                       std::to_string(key.second.get()) + " worker " +
+                                       worker.m_listing.m_id.str());
+            }
+        }
+    }
 }
 
 void virtual_pool::hold(std::size_t index)
@@ -341,46 +515,55 @@
     for (virtual_worker& worker : m_workers) {
         if (m_now >= worker.m_registers_at) {
             worker.m_listing.m_incarnation_start_ms = worker.m_incarnation_start_ms;
+            if (!worker.m_new_address.empty()) {
+                worker.m_listing.m_address = worker.m_new_address;
+            }
         }
         if (worker.m_listed) {
             listings.push_back(worker.m_listing);
         }
     }
-    if (owner.m_has_store) {
+    if (owner.m_has_store && m_now >= owner.m_next_list) {
+        owner.m_next_list = m_now + m_list_interval;
         update_workers(owner.m_shard, listings, m_now);
     }
     for (std::size_t i = 0; i < m_workers.size(); ++i) {
         virtual_worker& worker = m_workers[i];
         const worker_id& id = worker.m_listing.m_id;
+        if (const auto report = owner.m_reports.find(id); report != owner.m_reports.end()) {
+            if (m_now >= report->second.m_at) {
+                apply_report(owner.m_shard, id, report->second.m_report, report->second.m_sent_at,
+                             m_now, wall_at(m_now) + owner.m_time_of_day_error);
+                owner.m_reports.erase(report);
+            }
+            continue;
+        }
         const std::optional<hold_request> request = next_hold_request(owner.m_shard, id, m_now);
         if (!request) {
             continue;
         }
         std::uniform_real_distribution<double> chance(0, 1);
         if (!worker.m_up || worker.m_partitioned_owners.contains(index) ||
+            !is_at(worker, request->m_address) ||
             (worker.m_lost_hold_share > 0 && chance(m_random) < worker.m_lost_hold_share)) {
             apply_hold_failure(owner.m_shard, id, order_outcome::unknown, m_now);
             continue;
         }
+        if (worker.m_is_other_lifetime) {
+            apply_hold_failure(owner.m_shard, id, order_outcome::other_incarnation, m_now);
+            continue;
+        }
         const std::int64_t token = owner.m_shard.m_token.get();
+        if (worker.m_delayed_hold_share > 0 && chance(m_random) < worker.m_delayed_hold_share) {
+            m_delayed_holds.push_back({m_now + random_delay(m_random), i, *request, token, m_now});
+            apply_hold_failure(owner.m_shard, id, order_outcome::unknown, m_now);
+            continue;
+        }
         if (token < worker.m_token) {
             apply_hold_failure(owner.m_shard, id, order_outcome::refused_stale_token, m_now);
             continue;
         }
-        worker.m_token = token;
-        if (request->m_deadline_ms) {
-            extend_lease(worker, *request->m_deadline_ms);
-        }
-        std::erase_if(worker.m_ends, [&](const reported_end& end) {
-            if (end.m_number > request->m_acked_through) {
-                return false;
-            }
-            if (end.m_outcome == run_end::done) {
-                m_done_acknowledged.insert(end.m_task);
-            }
-            m_failed_acknowledged[end.m_task] += end.m_outcome == run_end::failed ? 1 : 0;
-            return true;
-        });
+        accept_hold(worker, *request, token);
         worker_report report;
         report.m_clock_ms = clock_of(worker);
         report.m_incarnation_start_ms = worker.m_incarnation_start_ms;
@@ -392,6 +575,11 @@
                         : 100 * run.m_done_ms / std::max(1.0, run.m_total_ms));
             report.m_running.push_back({key.first, key.second, "", percent, 0});
         }
+        if (m_max_answer_time > milliseconds(0)) {
+            std::uniform_int_distribution<std::int64_t> time(0, m_max_answer_time.count());
+            owner.m_reports[id] = {m_now + milliseconds(time(m_random)), m_now - time_step, report};
+            continue;
+        }
         apply_report(owner.m_shard, id, report, m_now - time_step, m_now,
                      wall_at(m_now) + owner.m_time_of_day_error);
     }
@@ -407,26 +595,66 @@
         owner.m_shard.m_lost = true;
         return;
     }
-    const std::optional<log_batch> batch = take_batch(owner.m_shard);
-    if (!batch) {
+    owner.m_proven_at = m_now;
+    if (!owner.m_written) {
+        owner.m_written = take_batch(owner.m_shard);
+        if (!owner.m_written) {
+            return;
+        }
+        owner.m_write_answer_at = m_now;
+        owner.m_written_early = false;
+        if (m_max_write_time > milliseconds(0)) {
+            std::uniform_int_distribution<std::int64_t> time(0, m_max_write_time.count());
+            owner.m_write_answer_at = m_now + milliseconds(time(m_random));
+            owner.m_written_early = time(m_random) % 2 == 0;
+        }
+        if (owner.m_written_early) {
+            append(owner.m_written->m_entries);
+        }
+    }
+    if (m_now < owner.m_write_answer_at) {
         return;
     }
-    if (!batch->m_entries.empty()) {
-        m_log.push_back(*decode_log(encode_log(batch->m_entries)));
+    const log_batch batch = std::move(*owner.m_written);
+    owner.m_written.reset();
+    if (!owner.m_written_early) {
+        append(batch.m_entries);
+    }
+    mark_cancellations(batch.m_entries);
+    mark_batch_stored(owner.m_shard, batch, wall_at(m_now));
+}
+
+bool virtual_pool::is_at(const virtual_worker& worker, const std::string& address)
+{
+    return address ==
+           (worker.m_new_address.empty() ? worker.m_listing.m_address : worker.m_new_address);
+}
+
+void virtual_pool::append(const std::vector<log_entry>& entries)
+{
+    if (!entries.empty()) {
+        m_log.push_back(*decode_log(encode_log(entries)));
     }
-    for (const log_entry& entry : batch->m_entries) {
+}
+
+void virtual_pool::mark_cancellations(const std::vector<log_entry>& entries)
+{
+    for (const log_entry& entry : entries) {
         if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
             m_cancelled.insert(cancelled->m_id.str());
+            requested_cancellation& request = m_cancellations[cancelled->m_id.str()];
+            request.m_stored_at = request.m_stored_at.value_or(m_now);
         }
     }
-    mark_batch_stored(owner.m_shard, *batch, wall_at(m_now));
 }
 
 void virtual_pool::give_orders(std::size_t index)
 {
     virtual_owner& owner = *m_owners[index];
     owner.m_shard.m_may_start = owner.m_has_store;
-    owner.m_shard.m_may_hold = true;
+    owner.m_shard.m_may_hold =
+        !m_limits_renewals || owner.m_has_store ||
+        m_now < owner.m_proven_at + owner.m_shard.m_bounds.m_unproven_renewal_time;
     const wall_time wall = wall_at(m_now) + owner.m_time_of_day_error;
     plan(owner.m_shard, m_now, wall);
     std::vector<worker_order> orders;
@@ -438,20 +666,54 @@
             });
         const auto worker = static_cast<std::size_t>(found - m_workers.begin());
         order_outcome outcome = order_outcome::unknown;
+        if (order.m_kind == worker_order::kind::start &&
+            m_cancelled.contains(order.m_task.m_submission.str())) {
+            m_violations.push_back("UNASKED ordered after cancel " + to_string(order.m_task));
+        }
         std::uniform_real_distribution<double> chance(0, 1);
         if (!found->m_up || found->m_partitioned_owners.contains(index)) {
             outcome =
                 found->m_refuses_connections ? order_outcome::not_sent : order_outcome::unknown;
         }
+        else if (!is_at(*found, order.m_address)) {
+            outcome = order_outcome::not_sent;
+        }
         else if (chance(m_random) < found->m_delayed_share) {
-            std::uniform_int_distribution<std::int64_t> delay(2000, 12000);
-            m_delayed_orders.push_back({m_now + milliseconds(delay(m_random)), worker, order,
-                                        owner.m_shard.m_token.get()});
+            m_delayed_orders.push_back({m_now + random_delay(m_random), worker, order,
+                                        owner.m_shard.m_token.get(), m_now});
         }
         else {
             outcome = carry_out(worker, order, owner.m_shard.m_token.get());
         }
-        apply_order_answer(owner.m_shard, order, outcome, m_now, wall);
+        answer_order(index, order, outcome);
+    }
+}
+
+void virtual_pool::answer_order(std::size_t index, const worker_order& order, order_outcome outcome)
+{
+    virtual_owner& owner = *m_owners[index];
+    if (m_max_answer_time > milliseconds(0)) {
+        std::uniform_int_distribution<std::int64_t> time(0, m_max_answer_time.count());
+        const milliseconds way =
+            outcome == order_outcome::unknown ? order_time_limit : milliseconds(time(m_random));
+        owner.m_answers.push_back({m_now + way, order, outcome});
+        return;
+    }
+    apply_order_answer(owner.m_shard, order, outcome, m_now,
+                       wall_at(m_now) + owner.m_time_of_day_error);
+}
+
+void virtual_pool::receive_answers(std::size_t index)
+{
+    virtual_owner& owner = *m_owners[index];
+    for (auto it = owner.m_answers.begin(); it != owner.m_answers.end();) {
+        if (it->m_at > m_now) {
+            ++it;
+            continue;
+        }
+        apply_order_answer(owner.m_shard, it->m_order, it->m_outcome, m_now,
+                           wall_at(m_now) + owner.m_time_of_day_error);
+        it = owner.m_answers.erase(it);
     }
 }
 
@@ -489,6 +751,13 @@
     while (m_now < end) {
         m_now += time_step;
         advance_workers();
+        if (m_checks_cancellations && m_now.time_since_epoch() % check_interval == duration(0)) {
+            if (is_disturbed()) {
+                disturb();
+            }
+            hold_by_other_service();
+            check_cancelled_runs();
+        }
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             virtual_owner& owner = *m_owners[i];
             if (!owner.m_alive || owner.m_shard.m_lost) {
@@ -496,6 +765,7 @@
             }
             if (m_now >= owner.m_next_hold) {
                 owner.m_next_hold = m_now + hold_interval;
+                receive_answers(i);
                 hold(i);
                 give_orders(i);
                 advise(i);
@@ -517,6 +787,7 @@
 
 bool virtual_pool::cancel(const std::string& id)
 {
+    m_cancellations.try_emplace(id, requested_cancellation{m_now, std::nullopt});
     return guavabay::cancel(current_owner().m_shard, submission_id(id));
 }
 
@@ -527,7 +798,12 @@
 
 void virtual_pool::release()
 {
+    // An orderly release waits for its writes.
+    const milliseconds write_time = std::exchange(m_max_write_time, milliseconds(0));
+    current_owner().m_write_answer_at = m_now;
+    write(m_owners.size() - 1);
     write(m_owners.size() - 1);
+    m_max_write_time = write_time;
     m_log.push_back({make_release_entry(current_owner().m_shard)});
     current_owner().m_alive = false;
 }
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -17,7 +17,8 @@
     double m_done_ms = 0;  ///< Progress in milliseconds at full speed.
     double m_total_ms = 0; ///< Run time at full speed; negative for a long-running one.
     bool m_fails = false;
-    time_point m_stop_at{}; ///< When a stop order takes effect; zero if there is none.
+    bool m_started_late = false; ///< Its start order got no answer and was executed late.
+    time_point m_stop_at{};      ///< When a stop order takes effect; zero if there is none.
 };
 
 /// A worker that implements the platform's worker protocol in virtual time.
@@ -35,12 +36,16 @@
     bool m_up = true;
     bool m_refuses_connections = false; ///< While it is not up: calls fail before they are sent.
     double m_lost_hold_share = 0;       ///< Share of holds without an answer.
+    bool m_is_frozen = false;           ///< It is not up and keeps its runs, for tests to remember.
     bool m_listed = true;
     double m_speed = 1;
-    double m_clock_speed = 1;   ///< Speed of its clock; the platform allows 0.98 to 1.
-    double m_failing_share = 0; ///< Share of its runs that fail.
-    bool m_allowed = true;      ///< The advice service permits runs here.
-    double m_delayed_share = 0; ///< Share of orders that get no answer and are executed late.
+    double m_clock_speed = 1;         ///< Speed of its clock; the platform allows 0.98 to 1.
+    double m_failing_share = 0;       ///< Share of its runs that fail.
+    bool m_allowed = true;            ///< The advice service permits runs here.
+    double m_delayed_share = 0;       ///< Share of orders that get no answer and are executed late.
+    double m_delayed_hold_share = 0;  ///< The same for holds.
+    bool m_is_other_lifetime = false; ///< Another lifetime answers at its address.
+    std::string m_new_address;        ///< Where it is reached, if its listing lags behind.
     std::set<std::size_t> m_partitioned_owners; ///< Owners (by index) that cannot reach it.
 };
 
@@ -57,8 +62,44 @@
     std::size_t m_worker = 0;
     worker_order m_order;
     std::int64_t m_token = 0;
+    time_point m_sent_at{};
 };
 
+/// A hold in transit that the worker executes at a later moment.
+struct delayed_hold {
+    time_point m_at{};
+    std::size_t m_worker = 0;
+    hold_request m_request;
+    std::int64_t m_token = 0;
+    time_point m_sent_at{};
+};
+
+/// A report of a worker on its way to an owner, which sends the next hold after it.
+struct delayed_report {
+    time_point m_at{};
+    time_point m_sent_at{}; ///< When the hold was sent.
+    worker_report m_report;
+};
+
+/// The answer to an order on its way to an owner.
+struct delayed_answer {
+    time_point m_at{};
+    worker_order m_order;
+    order_outcome m_outcome = order_outcome::unknown;
+};
+
+/// What is known about the cancellation of a submission.
+struct requested_cancellation {
+    time_point m_asked_at{};
+    std::optional<time_point> m_stored_at; ///< When an owner knew that it is durable.
+};
+
+/// The moment after which no worker may run a task of a cancelled submission; empty while the
+/// cancellation is neither durable nor has waited long enough in calm.
+std::optional<time_point> last_moment_of_run(const requested_cancellation& cancelled,
+                                             const virtual_run& run, time_point calm_since,
+                                             time_point now);
+
 /// One process that owns or owned the shard.
 struct virtual_owner {
     shard m_shard;
@@ -66,6 +107,13 @@
     bool m_has_store = true;
     bool m_refused = false; ///< One of its writes was rejected because of a newer owner.
     milliseconds m_time_of_day_error{0}; ///< Its time of day minus the true one.
+    time_point m_proven_at{};            ///< When the store last confirmed its ownership.
+    time_point m_next_list{};            ///< When it reads the list of workers again.
+    std::optional<log_batch> m_written;  ///< A write without an answer so far.
+    bool m_written_early = false;        ///< That write is durable before its answer.
+    time_point m_write_answer_at{};
+    std::map<worker_id, delayed_report> m_reports; ///< On their way.
+    std::vector<delayed_answer> m_answers;         ///< On their way.
     time_point m_next_write{};
     time_point m_next_hold{};
     std::optional<advice_request> m_advice_request; ///< In flight.
@@ -107,9 +155,26 @@
     /// delay.
     void restart_worker(std::size_t worker, milliseconds registration_delay);
 
+    /// True while an order to a worker is under way that it will execute late.
+    [[nodiscard]] bool has_late_order(std::size_t worker) const;
+
+    /// Restarts a crashed worker under its id as a worker of another service, whose owner stops
+    /// all runs that it finds there.
+    void restart_at_other_service(std::size_t worker);
+
     /// Writes the current owner's pending entries and its release entry to the log, and ends it.
     void release();
 
+    /// Says that a disturbance happens now. Those that the pool can see need no call.
+    void disturb() { m_calm_since = m_now; }
+
+    /// The moment of the last disturbance, where cancellations are checked.
+    [[nodiscard]] time_point calm_since() const { return m_calm_since; }
+
+    /// Records each run of a cancelled submission that goes on for too long; tests also call it
+    /// with invalid runs.
+    void check_cancelled_runs();
+
     /// The current virtual time.
     [[nodiscard]] time_point now() const { return m_now; }
 
@@ -130,17 +195,37 @@
     std::map<task_name, int> m_failed_acknowledged;
     std::set<std::string> m_always_failing; ///< Submissions whose runs all fail.
     std::set<std::string> m_cancelled;
-    int m_rejected_tickets = 0;  ///< Starts without a valid ticket.
-    double m_duration_sigma = 0; ///< Sigma of the lognormal factor of run times over
-                                 ///< estimates.
+    std::map<std::string, requested_cancellation> m_cancellations;
+    bool m_checks_cancellations = false; ///< Runs of cancelled submissions are checked.
+    bool m_late_deadlines_move = false;  ///< A late order's deadline counts from its arrival.
+    bool m_limits_renewals = false;      ///< Owners without the store stop renewing leases.
+    milliseconds m_list_interval{0};     ///< Time between two readings of the list of workers.
+    milliseconds m_max_answer_time{0};   ///< Longest way of a worker's answer to an owner.
+    milliseconds m_max_write_time{0};    ///< Longest time of a write to the log.
+    std::size_t m_late_starts_after_cancel = 0; ///< Starts of cancelled work, executed late.
+    std::size_t m_late_starts = 0;              ///< Starts that were executed late.
+    std::size_t m_checked_runs = 0;             ///< Checks of runs of cancelled submissions.
+    int m_rejected_tickets = 0;                 ///< Starts without a valid ticket.
+    double m_duration_sigma = 0;                ///< Sigma of the lognormal factor of run times over
+                                                ///< estimates.
 
     /// Checks one start and records violations; tests also call it with invalid starts.
     void check_start(std::size_t worker, const worker_order& order);
 
 private:
     void extend_lease(virtual_worker& worker, std::int64_t deadline_ms) const;
-    order_outcome carry_out(std::size_t worker, const worker_order& order, std::int64_t token);
-    void start_run(std::size_t worker, const worker_order& order);
+    /// An order that arrives late carries the moment at which it was sent.
+    order_outcome carry_out(std::size_t worker, const worker_order& order, std::int64_t token,
+                            std::optional<time_point> sent_late = std::nullopt);
+    void start_run(std::size_t worker, const worker_order& order, bool is_late);
+    void check_start(std::size_t worker, const worker_order& order, bool is_late);
+    void hold_by_other_service();
+    [[nodiscard]] bool is_disturbed() const;
+    void accept_hold(virtual_worker& worker, const hold_request& request, std::int64_t token);
+    /// True if a worker is reached at an address.
+    [[nodiscard]] static bool is_at(const virtual_worker& worker, const std::string& address);
+    void append(const std::vector<log_entry>& entries);
+    void mark_cancellations(const std::vector<log_entry>& entries);
     void end_run(virtual_worker& worker, const std::pair<task_name, run_number>& run, run_end how);
     [[nodiscard]] virtual_gang* find_gang(const std::pair<task_name, run_number>& run);
     void complete_gangs();
@@ -148,12 +233,20 @@
     void hold(std::size_t owner);
     void write(std::size_t owner);
     void give_orders(std::size_t owner);
+    void receive_answers(std::size_t owner);
+    void answer_order(std::size_t owner, const worker_order& order, order_outcome outcome);
     void advise(std::size_t owner);
     [[nodiscard]] std::int64_t clock_of(const virtual_worker& worker) const;
 
     time_point m_now{seconds(1000)};
     std::mt19937_64 m_random;
+    time_point m_calm_since{};
+    std::int64_t m_next_token = 1;
+    std::int64_t m_other_service_token = 0; ///< Of the owner of the other service's shard.
+    time_point m_other_service_from{};      ///< When that owner has its token.
+    std::set<std::pair<task_name, run_number>> m_reported_runs; ///< Violations found already.
     std::vector<delayed_order> m_delayed_orders;
+    std::vector<delayed_hold> m_delayed_holds;
     std::map<std::pair<task_name, run_number>, virtual_gang> m_gangs; ///< By the first member.
     std::vector<std::string> m_violations;
     std::map<std::string, submission> m_submitted;
