Show that a worker that changes its service costs an owner its shard

Cause: update_worker() only unlists a worker whose entry names another service (src/schedule/shard.cpp:337). Its record stays while it answers (remove_departed_workers), so next_hold_request() still returns holds for it (src/schedule/reports.cpp:480). A newer token of the other service's owner refuses them, and apply_hold_failure() takes this for a newer owner of the own shard (reports.cpp, m_lost).

--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -414,6 +414,21 @@
     CHECK(last_moment_of_run(waiting, run, start + seconds(1), start + seconds(4)) == std::nullopt);
 }
 
+// Guards against owners that lose their shard to another service's owner, again and again: a worker
+// that comes back under its id in another service still gets holds of its former one.
+TEST_CASE("a worker that returns in another service costs its former owner nothing",
+          "[cancelled_work]")
+{
+    virtual_pool pool(2, worker_size, 1);
+    pool.m_checks_cancellations = true;
+    pool.run_for(milliseconds(500));
+    pool.crash_worker(0);
+    pool.run_for(milliseconds(500));
+    pool.restart_at_other_service(0);
+    pool.run_for(seconds(10));
+    CHECK_FALSE(pool.current_owner().m_shard.m_lost);
+}
+
 // Guards against runs of cancelled submissions that go on, and starts of cancelled submissions,
 // where orders are executed late, workers restart, leave and move, and owners change.
 TEST_CASE("runs of cancelled submissions end in calm", "[cancelled_work]")
