--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -14,8 +14,8 @@
 /// Calls other systems over HTTP/1.1 and keeps connections for later calls. One call is under way
 /// on a connection; a connection whose answer did not come in time is closed, so that a late
 /// answer reaches no other call. If it had been kept from an earlier call, so are the idle ones to
-/// that address that are no younger: a path that lost its state silences them together. Used on the
-/// thread of its context.
+/// that address that have carried no answer since the call began: a path that lost its state
+/// silences them together. Used on the thread of its context.
 class http_client {
 public:
     /// Makes a client that keeps at most the given number of idle connections to an address.
