Wait for the store's answer in the test of a cancellation that waited

Cause: the new case failed once, sanitized and beside load: it looked at the owner as soon as the store had the entry, before the answer had come back. Change: it waits for the owner within the same limit of 2 s.

--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -243,7 +243,10 @@
     owned.m_store.m_refuse_status = 0;
     CHECK(run_until(
         owned.m_context, [&] { return is_cancelled(owned, "0000000000000001"); }, seconds(2)));
-    CHECK(owned.m_owner->state().m_open_submissions.empty());
+    // The store has the entry before its answer reaches the owner.
+    CHECK(run_until(
+        owned.m_context, [&] { return owned.m_owner->state().m_open_submissions.empty(); },
+        seconds(2)));
 }
 
 // Guards against a cancellation that is confirmed and lost when its owner releases the shard.
