Take the ports of the silent peer's test below those of other processes

Cause: its free port was one that a parallel test may get; a case elsewhere that picks ports so failed once.

--- a/tests/peer/silent_peer_test.cpp
+++ b/tests/peer/silent_peer_test.cpp
@@ -4,9 +4,11 @@
 #include <vector>
 
 #include "peer/host_link.h"
+#include "support/local_host.h"
 #include "support/loopback.h"
 
 using namespace guavabay;
+using guavabay::test::free_address;
 using guavabay::test::run_until;
 
 namespace {
@@ -16,12 +18,6 @@
 /// Longest time in which a caller has to learn that its connection is silent.
 constexpr milliseconds detection_limit{1600};
 
-ip_address free_address(asio::io_context& context)
-{
-    asio::ip::tcp::acceptor probe(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return {probe.local_endpoint().address(), probe.local_endpoint().port()};
-}
-
 /// Forwards connections to an address until they are made silent: nothing arrives any more on
 /// either side, and nothing shows it. New connections are forwarded.
 class silenceable_path {
