--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -142,7 +142,10 @@
         self._next_lease = 1000
         self._changed = asyncio.Event()
         self._servers = {}
-        self.silent_watch = set()  # Names of hosts whose waiting watch gets no answer.
+        self._waiting = {}  # Watches that wait for events, as (host, prefix), by number.
+        self._silent = set()  # Numbers of watches whose channel has gone silent.
+        self._next_watch = 0
+        self.down = False  # All calls get 503 while it is down; leases run out meanwhile.
 
     async def port_for(self, name):
         async def handler(method, path, query, headers, body):
@@ -163,6 +166,11 @@
                            "revision": self.revision, "created": created, "lease": lease}
         self._add_event(dict(self.items[key]))
 
+    def set_down(self, down):
+        self.down = down
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def remove(self, key):
         if key in self.items:
             self.revision += 1
@@ -188,6 +196,8 @@
 
     async def _handle(self, name, method, path, query, body):
         await asyncio.sleep(0.004)
+        if self.down:
+            return 503, {}
         if path == "/v1/kv-key":
             item = self.items.get(query["key"])
             return (404, {}) if item is None else (200, {**item, "as-of": self.revision})
@@ -216,14 +226,30 @@
             return 200, {}
         return 404, {}
 
+    def silence(self, name, prefix):
+        """The channel on which a host waits for events of a prefix goes silent; new ones work."""
+        found = [number for number, waiting in self._waiting.items() if waiting == (name, prefix)]
+        self._silent.update(found)
+        return len(found)
+
     async def _watch(self, name, query):
+        self._next_watch += 1
+        number = self._next_watch
+        self._waiting[number] = (name, query["prefix"])
+        try:
+            answer = await self._wait_for_events(query)
+        finally:
+            del self._waiting[number]
+        return None if number in self._silent else answer
+
+    async def _wait_for_events(self, query):
         after = int(query["after"])
         end = time.monotonic() + int(query["wait-ms"]) / 1000
         while True:
             found = [event for event in self.events
                      if event["revision"] > after and event["key"].startswith(query["prefix"])]
-            if found and name in self.silent_watch:
-                return None
+            if self.down:
+                return 503, {}
             left = end - time.monotonic()
             if found or left <= 0:
                 return 200, {"events": found, "as-of": self.revision}
@@ -248,6 +274,13 @@
         return 200, {"revision": self.revision}
 
 
+    def owner_of(self, service, hosts):
+        """The entry host whose name the owner's record of a service holds, or None."""
+        item = self.items.get("c/owner/" + service)
+        value = base64.b64decode(item["value"]) if item is not None else b""
+        return next((host for host in hosts if host.name.encode() in value), None)
+
+
 class Worker:
     """One runner. A task-spec is JSON: `ms` how long a run takes, `fail` how many runs fail first."""
 
@@ -306,7 +339,8 @@
                      "cold-left-ms": 0, "sequence": sequence, "machine": self.machine,
                      "born": self._born, "labels": ["a", self.rack],
                      "capacity": {"cpu": self.cpu, "mem-mb": self.mem_mb, "gpu": 0}}
-            self._store.put("servers/" + self.id, json.dumps(entry).encode())
+            if not self._store.down:
+                self._store.put("servers/" + self.id, json.dumps(entry).encode())
             await asyncio.sleep(1.5)
 
     def _end(self, task, how):
