--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,89 +1,83 @@
-"""Entry hosts stop answering when the reader of their log output stops reading."""
+"""Work of an accepted submission never starts while long-running tasks find no room."""
 
 import asyncio
 import os
-import signal
 import sys
-import time
 
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "standins-2"))
 import fleet  # noqa: E402
 
-STEPS = [{"count": 1, "cpu": 1000, "mem-mb": 100, "estimate-ms": 200}]
-SPEC = {"ms": 200, "cpu": 1000}
-RATE_PER_S = 20
-STOPPED_S = 60
-CHECK_S = 14  # finish_s: submissions are asked for within this time.
+CORES = 64000  # Thousandths of a core of a worker.
+WORKERS_PER_RACK = 3
+BIG = 50000
+SMALL = 20000
 
+# The rule counts from 3 s with nothing running, after 4 s without a disturbance.
+CALM_S = 4.0
+STILL_S = 3.0
 
-async def case(store, scratch, record, keep):
-    store.put("op/config", fleet.make_config(1, [("tables", "/calc/", "calc", 3)], ["calc"]))
-    for index in range(4):
-        keep["workers"].append(fleet.Worker(store, record, "calc", "r1", 64000, f"m{index}"))
-        await keep["workers"][-1].start()
-    # The log collector: one process that reads the output of all entry hosts and drops it.
-    read_end, write_end = os.pipe()
-    collector = await asyncio.create_subprocess_exec("cat", stdin=read_end,
-                                                     stdout=asyncio.subprocess.DEVNULL)
-    keep["stop"].append(lambda: collector.returncode is None and collector.kill())
-    os.close(read_end)
-    hosts = await fleet.start_hosts(3, store, scratch, record, [write_end] * 3)
-    keep["hosts"] = hosts
-    os.close(write_end)
-    await asyncio.sleep(4)
-
-    accepted = []
 
-    async def consumer(index):
-        order = hosts[index % 3:] + hosts[:index % 3]
-        number = await fleet.submit(order, "/calc/", STEPS, SPEC, record, tries=4)
-        if number is not None:
-            accepted.append(number)
+async def case(store, scratch, record, keep):
+    store.put("op/config", fleet.make_config(
+        1, [("serving", "/serve/", "calc", 3), ("tables", "/calc/", "calc", 3)], ["calc"]))
+    workers = keep["workers"]
 
-    if fleet.TROUBLE:
-        collector.send_signal(signal.SIGSTOP)
-        record.note("the log collector stops reading")
-    consumers = []
-    silent_since = None
-    end = time.monotonic() + STOPPED_S
-    index = 0
-    while time.monotonic() < end:
-        consumers.append(asyncio.ensure_future(consumer(index)))
-        index += 1
-        await asyncio.sleep(1 / RATE_PER_S)
-        if index % RATE_PER_S == 0:
-            ready = [host.name for host in hosts if await host.ready()]
-            record.note(f"ready: {','.join(ready) or 'none'} accepted={len(accepted)}")
-            if not ready:
-                silent_since = silent_since or time.monotonic()
-                if time.monotonic() - silent_since > 8:
-                    break
-            else:
-                silent_since = None
-    for waiting in consumers:
-        waiting.cancel()
-    await asyncio.gather(*consumers, return_exceptions=True)
+    async def add_rack(rack):
+        for index in range(WORKERS_PER_RACK):
+            workers.append(fleet.Worker(store, record, "calc", rack, CORES, f"m-{rack}-{index}"))
+            await workers[-1].start()
 
-    async def ask(number):
-        return await fleet.state(hosts, "/calc/", number, record, patience=CHECK_S)
+    await add_rack("r1")
+    outputs = [asyncio.subprocess.DEVNULL] * 3
+    hosts = await fleet.start_hosts(3, store, scratch, record, outputs)
+    keep["hosts"] = hosts
+    await asyncio.sleep(2.5)
 
+    # Three submissions with one long-running task each, which fill a worker for the most part.
+    for _ in range(3):
+        step = {"count": 1, "cpu": BIG, "mem-mb": 1000, "estimate-ms": 900, "long-running": True}
+        if await fleet.submit(hosts, "/serve/", [step], {"cpu": BIG}, record) is None:
+            raise fleet.CannotRun("a long-running submission was not accepted")
+    await asyncio.sleep(1)
+    await add_rack("r2")
+    await asyncio.sleep(2)
+    step = {"count": 3, "cpu": SMALL, "mem-mb": 1000, "estimate-ms": 900, "long-running": True,
+            "anti-affinity": 1}
+    if await fleet.submit(hosts, "/serve/", [step], {"cpu": SMALL}, record) is None:
+        raise fleet.CannotRun("a long-running submission was not accepted")
     await asyncio.sleep(2)
-    states = await asyncio.gather(*[ask(number) for number in accepted[-20:]])
-    unanswered = states.count("no answer")
-    running = [host.name for host in hosts if host.process.returncode is None]
-    record.note(f"accepted={len(accepted)}, asked for {len(states)}, no answer for {unanswered}; "
-                f"processes that run: {','.join(running)}")
+    if [worker.used_cpu() for worker in workers] != [BIG] * 3 + [SMALL] * 3:
+        raise fleet.CannotRun("the long-running tasks are not placed as the case needs")
+
     if fleet.TROUBLE:
-        collector.send_signal(signal.SIGCONT)
-        record.note("the log collector reads again")
-        await asyncio.sleep(4)
-        ready = [host.name for host in hosts if await host.ready()]
-        record.note(f"ready: {','.join(ready) or 'none'}")
-    if unanswered > 0:
-        return (f"LOST: {unanswered} of {len(states)} accepted submissions got no answer within "
-                f"{CHECK_S} s; {len(running)} processes run and answer nobody")
+        await asyncio.gather(*[worker.crash() for worker in workers if worker.rack == "r1"])
+    # Leases, the entries of lost workers and the 4 s before are over by then.
+    await asyncio.sleep(8 + CALM_S)
+
+    number = await fleet.submit(hosts, "/calc/", [
+        {"count": 2, "cpu": 1000, "mem-mb": 100, "estimate-ms": 300}], {"ms": 300, "cpu": 1000},
+        record)
+    if number is None:
+        raise fleet.CannotRun("the submission was not accepted")
+    waited = 0.0
+    step_s = 0.25
+    while waited < 20:
+        await asyncio.sleep(step_s)
+        if any(task.startswith(number) for task in fleet.Worker.attempts):
+            break
+        waited += step_s
+    alive = [worker for worker in workers if worker.alive]
+    capacity = sum(worker.cpu for worker in alive)
+    used = sum(worker.used_cpu() for worker in alive)
+    shown = await fleet.state(hosts, "/calc/", number, record)
+    record.note(f"{number}: first start after {waited:.1f} s, shown as {shown}; the pool of "
+                f"{len(alive)} workers has {capacity} of which {used} are in use, the most on one "
+                f"worker is {max(worker.used_cpu() for worker in alive)}")
+    if waited > STILL_S and used * 2 < capacity:
+        return (f"LOST: nothing of {number} ran for {waited:.1f} s, {used} of {capacity} "
+                f"thousandths of a core in use")
     return None
 
 
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -286,7 +286,8 @@
 
     attempts = {}  # Runs begun of each subtask, over all workers.
 
-    def __init__(self, store, record, service, rack, cpu, machine, mem_mb=262144):
+    def __init__(self, store, record, service, rack, cpu, machine, mem_mb=262144, stop_ms=50):
+        self.stop_ms = stop_ms
         self.id = "w" + "".join(random.choice("0123456789abcdef") for _ in range(10))
         self.service, self.rack, self.machine = service, rack, machine
         self.cpu, self.mem_mb = cpu, mem_mb
@@ -302,6 +303,7 @@
         self._deadline = 0
         self._wake = asyncio.Event()
         self.alive = False
+        self.cut = False  # No call reaches it and no answer leaves it; its runs go on.
         self._tasks = []
 
     async def start(self):
@@ -365,6 +367,12 @@
                     self._end(task, "failed" if run["fails"] else "done")
 
     async def _handle(self, method, path, query, headers, body):
+        if self.cut:
+            return None
+        answer = await self._answer(path, headers, body)
+        return None if self.cut else answer
+
+    async def _answer(self, path, headers, body):
         if headers.get("guavabay-expect-instance", self.id) != self.id:
             return 421, {}
         clock = self.clock()
@@ -378,7 +386,7 @@
             task, number = body["task"], body["run"]
             run = self.runs.get(task)
             if run is not None and run["run"] <= number:
-                run["stop_at"] = clock + 50
+                run["stop_at"] = clock + self.stop_ms
             self._last_run[task] = max(self._last_run.get(task, 0), number)
             return 200, {"clock-ms": clock}
         if path == "/v1/pace":
@@ -406,6 +414,9 @@
         Worker.attempts[task] = begun
         self.runs[task] = {"run": number, "begun": clock, "ms": spec.get("ms"), "stop_at": None,
                            "fails": begun <= spec.get("fail", 0), "cpu": spec.get("cpu", 0)}
+        if "ends" in spec:  # Times of the first runs; later ones last.
+            ends = spec["ends"]
+            self.runs[task]["ms"] = ends[begun - 1] if begun <= len(ends) else None
         self._record.note(f"started {task} run={number} attempt={begun} worker={self.id} "
                           f"rack={self.rack} token={body['fencing-token']}")
         return 200, {"clock-ms": clock}
