--- /dev/null
+++ b/review/more-2/late-end-of-lasting-task/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+here=$(cd "$(dirname "$0")" && pwd)
+command -v python3 >/dev/null || { echo "python3 is missing"; exit 2; }
+exec python3 "$here/case.py"
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -306,8 +307,9 @@
         self.cut = False  # No call reaches it and no answer leaves it; its runs go on.
         self._tasks = []
 
-    async def start(self):
-        await self._server.start()
+    async def start(self, port=0):
+        await self._server.start(port)
+        self.port = self._server.port
         self.alive = True
         self._tasks = [asyncio.ensure_future(self._beat()), asyncio.ensure_future(self._work())]
 
@@ -320,6 +322,18 @@
         await asyncio.sleep(4.5)
         self._store.remove("servers/" + self.id)
 
+    async def restart(self, down_s):
+        """Ends at once and starts again under its id, at another port; knows nothing of before."""
+        self._record.note(f"worker {self.id} ends, runs={len(self.runs)}, port={self.port}")
+        self.stop()
+        self.runs, self._ended, self._last_run = {}, {}, {}
+        self._end_number = self._fence = self._deadline = 0
+        await asyncio.sleep(down_s)
+        self._born, self._start = int(time.time() * 1000), time.monotonic()
+        self._server = HttpServer(self._handle)
+        await self.start()
+        self._record.note(f"worker {self.id} starts again, port={self.port}")
+
     def stop(self):
         self.alive = False
         self._server.stop()
@@ -551,6 +565,9 @@
     record = Record(os.path.join(folder, "record.txt"))
 
     async def run():
+        # A stop from outside ends the processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      asyncio.current_task().cancel)
         store = Store()
         leases = asyncio.ensure_future(store.expire_leases())
         with tempfile.TemporaryDirectory() as scratch:
@@ -572,7 +589,7 @@
         sys.exit(2)
     try:
         reason = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
         record.note(f"cannot run: {error!r}")
         print(f"cannot run: {error!r}")
         sys.exit(2)
