Reserve workers only where room will come, and never all of a pool

Cause: a task that fitted nowhere reserved the worker with most free cores if its whole capacity sufficed. Long-running tasks whose room never came, because other long-running tasks hold it, reserved all workers of a small pool in each round. Tasks that wait for the rack of their data did the same with workers of other racks, and tasks that wait for long runs to end.

Change: a worker is reserved only if the task fits there once the runs that are not long-running have ended, at most half of the candidates (or the only one). A task that is expected to end before that starts there all the same. A reservation delays no long-running task for more than 2 s, and no other once less than half of the pool has been in use for 2 s. A task that waits beside idle cores is logged with what tells the causes apart; metrics count reserved workers and starts on them.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -643,6 +643,9 @@
              static_cast<double>(state.m_open_submissions.size()));
         line("guavabay_workers" + labels, static_cast<double>(state.m_workers.size()));
         line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
+        line("guavabay_starts_on_reserved_workers_total" + labels,
+             static_cast<double>(state.m_starts_on_reserved));
+        line("guavabay_reserved_workers" + labels, static_cast<double>(state.m_reserved_workers));
         line("guavabay_placement_candidates_total" + labels,
              static_cast<double>(state.m_candidates));
         line("guavabay_tasks_examined_total" + labels, static_cast<double>(state.m_tasks_examined));
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -26,12 +26,12 @@
 /// tasks that have to leave their worker, and paces.
 constexpr milliseconds worker_review_interval{20};
 
+/// A task without a worker for this long while most of the pool is idle is logged.
+constexpr milliseconds waiting_task_log_delay{2500};
+
 /// Interval of searches for submissions that are to be erased.
 constexpr milliseconds purge_interval{1000};
 
-/// Limit of workers reserved for tasks that don't fit now, per planning pass.
-constexpr std::size_t max_reserved_workers = 3;
-
 /// Reserves the resources of a run on a worker and queues its start order.
 void start_run(shard& state, const placement_request& request, scheduled_task& task,
                candidate_worker& candidate, run_number run, time_point now)
@@ -153,12 +153,35 @@
     }
 }
 
+/// Logs, once per submission, that a task has found no worker for a while although most of the pool
+/// is idle, with what tells the causes apart.
+void note_waiting_task(shard& state, const candidate_workers& candidates,
+                       const placement_request& request, time_point now)
+{
+    submission_record& record = *request.m_record;
+    const time_point ready_since = std::max(request.m_task->m_not_before, record.m_arrived);
+    if (record.m_wait_logged || now - ready_since < waiting_task_log_delay ||
+        now - state.m_half_used_at < waiting_task_log_delay) {
+        return;
+    }
+    record.m_wait_logged = true;
+    std::int64_t most_free = 0;
+    for (const candidate_worker& each : candidates.m_workers) {
+        most_free = std::max(most_free, each.m_free.m_cpu_millis);
+    }
+    state.m_log_lines.push_back(
+        "task has no worker although most cores are idle: task=" + to_string(request.m_name) +
+        " cpu=" + std::to_string(request.m_demand.m_cpu_millis) +
+        " workers=" + std::to_string(state.m_workers.size()) +
+        " candidates=" + std::to_string(candidates.m_workers.size()) + " reserved=" +
+        std::to_string(candidates.m_reserved.size()) + " most_free=" + std::to_string(most_free));
+}
+
 /// Starts ready tasks in the ranking of submissions. After the first task of a step that finds no
 /// worker, the rest of the step is skipped.
 void start_ready_tasks(shard& state, time_point now)
 {
     candidate_workers candidates = find_candidate_workers(state, now);
-    std::size_t reserved_workers = 0;
     for (submission_record* record : state.m_ranked) {
         for (std::uint32_t occurrence_index = 0; occurrence_index < record->m_occurrences.size();
              ++occurrence_index) {
@@ -190,21 +213,26 @@
                         request.m_avoids_upkeep = false;
                         worker = choose_worker(state, candidates, request, "", now);
                     }
+                    if (worker == nullptr) {
+                        worker = choose_reserved_worker(state, candidates, request, now);
+                        state.m_starts_on_reserved += worker != nullptr ? 1 : 0;
+                    }
                     if (worker != nullptr) {
                         start_run(state, request, task, *worker, allocate_run_number(state), now);
                         continue;
                     }
                     state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
                     // A task that waits for its ticket reserves no worker.
-                    if (reserved_workers < max_reserved_workers && !request.m_needs_ticket &&
-                        reserve_worker(candidates, request)) {
-                        ++reserved_workers;
+                    if (!request.m_needs_ticket) {
+                        reserve_worker(state, candidates, request, now);
                     }
+                    note_waiting_task(state, candidates, request, now);
                     break;
                 }
             }
         }
     }
+    state.m_reserved_workers = static_cast<std::uint32_t>(candidates.m_reserved.size());
 }
 
 /// Time without progress after which a run is considered stalled.
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -89,7 +89,8 @@
     /// It was read from the log, so that a former owner may have started any of its tasks on a
     /// worker that has not reported to this owner yet.
     bool m_inherited = false;
-    bool m_started = false; ///< A worker has, or has had, a run of one of its tasks.
+    bool m_started = false;     ///< A worker has, or has had, a run of one of its tasks.
+    bool m_wait_logged = false; ///< The log says already that one of its tasks has no worker.
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
     submission_state m_final = submission_state::succeeded;
@@ -281,7 +282,9 @@
     std::uint32_t m_unplaced_by_start =
         0; ///< Long-running tasks without a worker in the last plan.
     std::uint32_t m_unplaced_by_evacuation = 0; ///< The same in the last review, of tasks to move.
+    std::uint32_t m_reserved_workers = 0;       ///< Metric: workers reserved in the last plan.
     std::uint64_t m_starts = 0;                 ///< Metric: start orders.
+    std::uint64_t m_starts_on_reserved = 0;     ///< Metric: start orders to reserved workers.
     std::uint64_t m_candidates = 0;             ///< Metric: workers examined for placement.
     std::uint64_t m_tasks_examined = 0;         ///< Metric: tasks examined for a start.
     std::uint64_t m_ends_done = 0;              ///< Metric: runs that ended successfully.
@@ -290,6 +293,7 @@
     bool m_ranking_stale = true; ///< Submissions have changed since the last ranking.
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
+    time_point m_half_used_at{};        ///< When at least half of the cores were last in use.
     time_point m_workers_reviewed_at{}; ///< When all workers and their runs were last checked.
     time_point m_next_purge{};          ///< Earliest next search for expired submissions.
     pool_capacity m_capacity;
--- a/src/schedule/worker_choice.cpp
+++ b/src/schedule/worker_choice.cpp
@@ -18,6 +18,17 @@
 /// Slowness up to this factor is within the normal spread of run times and is ignored.
 constexpr double tolerated_slowness = 1.6;
 
+/// Limit of reserved workers per planning pass. Half of the candidates stay free of reservations,
+/// unless there is only one.
+constexpr std::size_t max_reserved_workers = 3;
+
+/// The longest time for which a reservation may keep a task waiting while there is room for it. The
+/// platform counts work that stands still for three seconds as lost.
+constexpr milliseconds max_reservation_wait{2000};
+
+/// A run that has exceeded its estimate is expected to end no sooner than after this time.
+constexpr milliseconds min_remaining_time{200};
+
 bool has_label(const worker_listing& info, const std::string& label)
 {
     return std::find(info.m_labels.begin(), info.m_labels.end(), label) != info.m_labels.end();
@@ -88,6 +99,53 @@
             count_step_runs(worker, request.m_name) < step.m_max_per_worker);
 }
 
+/// True when a task still waits for a worker in the rack of its data, because a run elsewhere would
+/// take longer than the wait.
+bool waits_for_data_rack(const shard& state, const placement_request& request, time_point now)
+{
+    const std::string& rack = request.m_step->m_data_rack;
+    return !rack.empty() && rack_has_available_worker(state, rack, now) &&
+           now - request.m_record->m_arrived <
+               std::chrono::duration_cast<duration>(request.m_expected_duration *
+                                                    (state.m_bounds.m_remote_factor - 1));
+}
+
+/// Expected time until a run ends; empty for a long-running one that is not being stopped. The
+/// longer a run has exceeded its estimate, the later it is expected to end.
+std::optional<duration> remaining_time(const shard& state, const run_slot& slot, time_point now)
+{
+    if (slot.m_phase == run_phase::stopping) {
+        return state.m_bounds.m_stop_time;
+    }
+    if (slot.m_long_running) {
+        return std::nullopt;
+    }
+    const duration left = slot.m_estimate - (now - slot.m_ordered_at);
+    return std::max<duration>(left >= duration(0) ? left : -left, min_remaining_time);
+}
+
+/// When a demand is expected to fit on a worker; empty if the ends of runs will not leave room.
+std::optional<time_point> expected_room_at(const shard& state, const candidate_worker& candidate,
+                                           const resources& demand, time_point now)
+{
+    std::vector<std::pair<duration, const run_slot*>> ends;
+    for (const auto& [key, slot] : candidate.m_worker->m_runs) {
+        if (const std::optional<duration> left = remaining_time(state, slot, now)) {
+            ends.emplace_back(*left, &slot);
+        }
+    }
+    std::stable_sort(ends.begin(), ends.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    resources free = candidate.m_free;
+    for (const auto& [left, slot] : ends) {
+        free = free + slot->m_reserved;
+        if (fits(demand, free)) {
+            return now + left;
+        }
+    }
+    return std::nullopt;
+}
+
 /// True when the task needs no ticket or holds a valid one for the worker.
 bool has_ticket(const shard& state, const worker_record& worker, const placement_request& request,
                 time_point now)
@@ -127,13 +185,24 @@
 candidate_workers find_candidate_workers(shard& state, time_point now)
 {
     candidate_workers candidates;
+    std::int64_t capacity = 0;
+    std::int64_t in_use = 0;
     for (const auto& [id, worker] : state.m_workers) {
+        if (worker->m_listed) {
+            capacity += worker->m_info.m_capacity.m_cpu_millis;
+            in_use += worker->m_reserved.m_cpu_millis;
+        }
         // Beside a run of unknown size no capacity is known to be free.
         if (worker->m_unknown_demands == 0 && accepts_starts(*worker, now)) {
             candidates.m_workers.push_back(
                 {worker->m_info.m_capacity - worker->m_reserved, worker.get()});
         }
     }
+    candidates.m_max_reserved =
+        std::min(max_reserved_workers, std::max<std::size_t>(1, candidates.m_workers.size() / 2));
+    if (in_use * 2 >= capacity) {
+        state.m_half_used_at = now;
+    }
     return candidates;
 }
 
@@ -148,11 +217,7 @@
     double best_cost = 0;
     bool any_fits = false;
     const submission_step& step = *request.m_step;
-    const bool waits_for_data_rack =
-        !step.m_data_rack.empty() && rack_has_available_worker(state, step.m_data_rack, now) &&
-        now - request.m_record->m_arrived <
-            std::chrono::duration_cast<duration>(request.m_expected_duration *
-                                                 (state.m_bounds.m_remote_factor - 1));
+    const bool waits_for_rack = waits_for_data_rack(state, request, now);
     state.m_candidates += candidates.m_workers.size();
     for (candidate_worker& candidate : candidates.m_workers) {
         if (!fits(request.m_demand, candidate.m_free)) {
@@ -163,7 +228,7 @@
         if (!satisfies_constraints(worker, request) || !has_ticket(state, worker, request, now)) {
             continue;
         }
-        if ((waits_for_data_rack && worker.m_info.m_rack.str() != step.m_data_rack) ||
+        if ((waits_for_rack && worker.m_info.m_rack.str() != step.m_data_rack) ||
             (!required_rack.empty() && worker.m_info.m_rack.str() != required_rack)) {
             continue;
         }
@@ -179,22 +244,61 @@
     return best;
 }
 
-bool reserve_worker(candidate_workers& candidates, const placement_request& request)
+bool reserve_worker(const shard& state, candidate_workers& candidates,
+                    const placement_request& request, time_point now)
 {
-    auto best = candidates.m_workers.end();
-    for (auto it = candidates.m_workers.begin(); it != candidates.m_workers.end(); ++it) {
-        if (fits(request.m_demand, it->m_worker->m_info.m_capacity) &&
-            satisfies_constraints(*it->m_worker, request) &&
-            (best == candidates.m_workers.end() ||
-             it->m_free.m_cpu_millis > best->m_free.m_cpu_millis)) {
-            best = it;
+    if (candidates.m_reserved.size() >= candidates.m_max_reserved) {
+        return false;
+    }
+    const bool waits_for_rack = waits_for_data_rack(state, request, now);
+    std::vector<std::size_t> usable; ///< Positions among the candidates.
+    for (std::size_t i = 0; i < candidates.m_workers.size(); ++i) {
+        const worker_record& worker = *candidates.m_workers[i].m_worker;
+        if (fits(request.m_demand, worker.m_info.m_capacity) &&
+            satisfies_constraints(worker, request) &&
+            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack)) {
+            usable.push_back(i);
         }
     }
-    if (best == candidates.m_workers.end()) {
-        return false;
+    std::stable_sort(usable.begin(), usable.end(), [&](std::size_t left, std::size_t right) {
+        return candidates.m_workers[left].m_free.m_cpu_millis >
+               candidates.m_workers[right].m_free.m_cpu_millis;
+    });
+    for (const std::size_t position : usable) {
+        const auto candidate = candidates.m_workers.begin() + static_cast<std::ptrdiff_t>(position);
+        const std::optional<time_point> room_at =
+            expected_room_at(state, *candidate, request.m_demand, now);
+        if (room_at) {
+            candidates.m_reserved.push_back({*candidate, *room_at});
+            candidates.m_workers.erase(candidate);
+            return true;
+        }
+    }
+    return false;
+}
+
+candidate_worker* choose_reserved_worker(const shard& state, candidate_workers& candidates,
+                                         const placement_request& request, time_point now)
+{
+    const bool is_long_running = request.m_step->m_long_running;
+    const time_point ready_since =
+        std::max(request.m_task->m_not_before, request.m_record->m_arrived);
+    const bool has_waited = now - ready_since >= max_reservation_wait &&
+                            (is_long_running || now - state.m_half_used_at >= max_reservation_wait);
+    const bool waits_for_rack = waits_for_data_rack(state, request, now);
+    for (reserved_worker& reserved : candidates.m_reserved) {
+        const worker_record& worker = *reserved.m_candidate.m_worker;
+        const bool ends_before = !is_long_running && now + std::chrono::duration_cast<duration>(
+                                                               request.m_expected_duration *
+                                                               std::max(1.0, worker.m_slowness)) <=
+                                                         reserved.m_until;
+        if ((ends_before || has_waited) && fits(request.m_demand, reserved.m_candidate.m_free) &&
+            satisfies_constraints(worker, request) && has_ticket(state, worker, request, now) &&
+            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack)) {
+            return &reserved.m_candidate;
+        }
     }
-    candidates.m_workers.erase(best);
-    return true;
+    return nullptr;
 }
 
 placement_request make_placement_request(const shard& state, submission_record& record,
--- a/src/schedule/worker_choice.h
+++ b/src/schedule/worker_choice.h
@@ -11,11 +11,19 @@
     worker_record* m_worker = nullptr;
 };
 
+/// A worker that is kept for a task which fits on none now.
+struct reserved_worker {
+    candidate_worker m_candidate;
+    time_point m_until{}; ///< When the task is expected to have room there.
+};
+
 /// Workers that accept starts, collected once per planning pass. Free capacity only shrinks during
 /// a pass, so a demand that fitted on no worker is not tried again.
 struct candidate_workers {
     std::vector<candidate_worker> m_workers;
-    std::vector<resources> m_unplaceable; ///< Demands that fit on no worker.
+    std::vector<reserved_worker> m_reserved; ///< No longer among m_workers.
+    std::vector<resources> m_unplaceable;    ///< Demands that fit on no worker.
+    std::size_t m_max_reserved = 0;          ///< Limit of reserved workers in this pass.
 };
 
 /// A task to place, with its constraints and the resources that a start reserves.
@@ -44,9 +52,18 @@
                                 const placement_request& request, const std::string& required_rack,
                                 time_point now);
 
-/// Reserves a worker for a task that fits on none now: removes, among the workers whose total
-/// capacity suffices, the one with most free cores from the candidates, so that smaller tasks later
-/// in the pass don't fill it. False when no worker is large enough.
-bool reserve_worker(candidate_workers& candidates, const placement_request& request);
+/// Reserves a worker for a task that fits on none now, so that smaller tasks later in the pass
+/// don't fill it: the one with most free cores among the workers on which the task will fit once
+/// the runs that are not long-running have ended. False when there is none, or when the limit of
+/// reserved workers is reached.
+bool reserve_worker(const shard& state, candidate_workers& candidates,
+                    const placement_request& request, time_point now);
+
+/// Chooses a reserved worker for a task that fits on no other: one that the task is expected to
+/// have left before the room there suffices for the task that it is reserved for. A reservation
+/// delays no long-running task for more than two seconds, and no other task when most of the pool
+/// has been idle for that long. Null when there is none.
+candidate_worker* choose_reserved_worker(const shard& state, candidate_workers& candidates,
+                                         const placement_request& request, time_point now);
 
 } // namespace guavabay
