Rank a submission with a large task first once it has starved

Callers saw a task of most of a worker that did not start for 10 s and longer beside a flow of small tasks that left no worker empty.

Cause: reservations are made in the order of the ranking. A submission that ranks low, since it is late or the largest in an overload, reserves a worker after the others have taken all room.

Change: the submission without a start for longest, at least 3 s, that has a task of more than half of a worker ranks before all but the long-running ones, for at most one start a second.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -26,6 +26,10 @@
 /// tasks that have to leave their worker, and paces.
 constexpr milliseconds worker_review_interval{20};
 
+/// Minimum time between two starts of submissions that a ranking has put first because they were
+/// starving, so that they don't take a pool from the work that can be on time.
+constexpr milliseconds starving_start_interval{1000};
+
 /// A task without a worker for this long while most of the pool is idle is logged.
 constexpr milliseconds waiting_task_log_delay{2500};
 
@@ -53,6 +57,12 @@
     slot.m_declared_cpu = request.m_step->m_demand.m_cpu_millis;
     worker.m_reserved = worker.m_reserved + slot.m_reserved;
     worker.m_runs.emplace(std::pair(request.m_name, run), slot);
+    request.m_record->m_last_start = now;
+    if (request.m_record->m_starving) {
+        request.m_record->m_starving = false;
+        state.m_next_starving_start = now + starving_start_interval;
+        state.m_ranking_stale = true;
+    }
     set_phase(request.m_record->m_occurrences[request.m_name.m_occurrence], request.m_name.m_step,
               task, task_phase::placed);
     task.m_worker = &worker;
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -18,6 +18,10 @@
 /// docs/design/schedule.md.
 constexpr double plannable_core_share = 0.7;
 
+/// A submission with a task that needs most of a worker is put before the others once none of its
+/// tasks has started for this long: smaller tasks that rank higher take each room that runs leave.
+constexpr milliseconds starvation_time{3000};
+
 /// The unfinished part of an occurrence.
 struct remaining_work {
     double m_core_ms = 0;            ///< Core-milliseconds.
@@ -94,6 +98,53 @@
     }
 }
 
+/// True when an occurrence has a task to start that needs more than half of a worker.
+bool has_large_ready_task(const submission_record& record, const occurrence_state& occurrence,
+                          const resources& worker)
+{
+    for (std::size_t i = 0; i < occurrence.m_ready_tasks.size(); ++i) {
+        const resources& demand = record.m_definition.m_steps[i].m_demand;
+        const bool is_large = demand.m_cpu_millis * 2 > worker.m_cpu_millis ||
+                              demand.m_memory_mb * 2 > worker.m_memory_mb;
+        if (occurrence.m_ready_tasks[i] > 0 && is_large && fits(demand, worker)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Puts the submission with a large task that has waited longest before all others but the
+/// long-running ones, if it is starving.
+void promote_starving(shard& state, const resources& largest_worker, time_point now)
+{
+    if (now < state.m_next_starving_start) {
+        return;
+    }
+    const auto begin = std::find_if(state.m_ranked.begin(), state.m_ranked.end(),
+                                    [](const submission_record* record) {
+                                        return record->m_tier != submission_tier::long_running;
+                                    });
+    auto longest = state.m_ranked.end();
+    time_point waits_since = now - starvation_time;
+    for (auto it = begin; it != state.m_ranked.end(); ++it) {
+        const submission_record& record = **it;
+        const time_point since = std::max(record.m_arrived, record.m_last_start);
+        const auto is_waiting = [&](const occurrence_state& occurrence) {
+            return occurrence.m_due && !occurrence.m_done &&
+                   has_large_ready_task(record, occurrence, largest_worker);
+        };
+        if (since < waits_since &&
+            std::any_of(record.m_occurrences.begin(), record.m_occurrences.end(), is_waiting)) {
+            waits_since = since;
+            longest = it;
+        }
+    }
+    if (longest != state.m_ranked.end()) {
+        (*longest)->m_starving = true;
+        std::rotate(begin, longest, std::next(longest));
+    }
+}
+
 } // namespace
 
 void rank_submissions(shard& state, time_point now, wall_time wall)
@@ -107,10 +158,15 @@
     state.m_ranking_stale = false;
     state.m_ranked_at = now;
     double cores = 0;
+    resources largest_worker;
     for (const auto& [id, worker] : state.m_workers) {
         if (!accepts_starts(*worker, now)) {
             continue;
         }
+        const resources& capacity = worker->m_info.m_capacity;
+        if (capacity.m_cpu_millis > largest_worker.m_cpu_millis) {
+            largest_worker = capacity;
+        }
         cores += static_cast<double>(worker->m_info.m_capacity.m_cpu_millis) / 1000.0;
         for (const auto& [key, slot] : worker->m_runs) {
             if (slot.m_long_running) {
@@ -194,8 +250,10 @@
     state.m_ranked.clear();
     for (const ranked_submission& item : items) {
         item.m_record->m_tier = item.m_tier;
+        item.m_record->m_starving = false;
         state.m_ranked.push_back(item.m_record);
     }
+    promote_starving(state, largest_worker, now);
 }
 
 } // namespace guavabay
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -91,6 +91,8 @@
     bool m_inherited = false;
     bool m_started = false;     ///< A worker has, or has had, a run of one of its tasks.
     bool m_wait_logged = false; ///< The log says already that one of its tasks has no worker.
+    bool m_starving = false;    ///< Its last ranking put it first, because it had waited for long.
+    time_point m_last_start{};  ///< When a start of one of its tasks was last ordered.
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
     submission_state m_final = submission_state::succeeded;
@@ -294,6 +296,7 @@
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
     time_point m_half_used_at{};        ///< When at least half of the cores were last in use.
+    time_point m_next_starving_start{}; ///< Earliest time to put a starving submission first.
     time_point m_workers_reviewed_at{}; ///< When all workers and their runs were last checked.
     time_point m_next_purge{};          ///< Earliest next search for expired submissions.
     pool_capacity m_capacity;
--- a/tests/schedule/reserved_workers_test.cpp
+++ b/tests/schedule/reserved_workers_test.cpp
@@ -188,12 +188,19 @@
     short_task_stream stream(pool, load, {3000, 1000, 0}, milliseconds(600));
     stream.run_for(seconds(2));
 
+    // Work that others rank before gets its room after the time without a run that counts as lost.
+    milliseconds bound = 2 * max_stand_still;
+    SECTION("a large task of its own")
+    {
+        accept(pool, "large", make_submission({1}, {16000, 1000, 0}, milliseconds(600)));
+    }
     SECTION("a large long-running task")
     {
+        bound = max_stand_still;
         accept(pool, "large", make_long_running(1, 16000));
     }
     CAPTURE(workers, load, seed);
-    CHECK(stream.run_until_start("large.0.0.0", seconds(10)) < max_stand_still);
+    CHECK(stream.run_until_start("large.0.0.0", seconds(10)) < bound);
     CHECK(pool.violations().empty());
 }
 
