Refuse calls for a worker's former incarnation, and count with its longest lease

Cause: a restarted worker takes calls that were meant for its former incarnation. Their deadlines are by the former clock, so that they give the longest lease to all that runs there. A new owner took the lease for no longer than its own grants, and so did the owner that had sent such a hold if no start was open.

Change: after a restart the owner logs the incarnation and uses the revision of that write as fencing token for the worker, which gets no starts before it has answered a hold with it and refuses all older calls from then on. The longest lease from that answer bounds the rest; then the incarnation is logged as settled. A new owner counts with its own lease length only for the settled incarnation, and waits for the longest lease of a worker that is known to have restarted and that it cannot reach.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -642,6 +642,7 @@
         line("guavabay_open_submissions" + labels,
              static_cast<double>(state.m_open_submissions.size()));
         line("guavabay_workers" + labels, static_cast<double>(state.m_workers.size()));
+        line("guavabay_worker_restarts_total" + labels, static_cast<double>(state.m_restarts));
         line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
         line("guavabay_starts_on_reserved_workers_total" + labels,
              static_cast<double>(state.m_starts_on_reserved));
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -101,6 +101,9 @@
 /// Returns how long a worker may delay its answer to a hold until a run ends.
 milliseconds hold_wait(const worker_record& worker)
 {
+    if (!worker.m_guard.m_complete) {
+        return worker.m_guard.m_token_pending ? hold_wait_starting : milliseconds(0);
+    }
     const bool starting =
         std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [](const auto& entry) {
             return entry.second.m_long_running && entry.second.m_phase != run_phase::stopping &&
@@ -336,8 +339,10 @@
     }
     ++m_orders_in_flight;
     worker_order copy = order;
-    const order_outcome outcome = co_await m_dependencies.m_workers->send_order(
-        std::move(copy), m_shard.m_token, zone_of(order.m_worker), may_relay());
+    const fencing_token token = token_of(m_shard, order.m_worker);
+    order_outcome outcome = co_await m_dependencies.m_workers->send_order(
+        std::move(copy), token, zone_of(order.m_worker), may_relay());
+    outcome = judge_refusal(m_shard, order.m_worker, token, outcome);
     --m_orders_in_flight;
     if (m_stopped) {
         co_return;
@@ -541,6 +546,7 @@
         const commit_result result = platform::decode_commit(answer);
         if (result.m_outcome == commit_outcome::done) {
             m_store_failing = false;
+            batch.m_revision = result.m_revision.get();
             ++m_next_log_number;
             co_return true;
         }
@@ -550,6 +556,7 @@
             for (const store_item& item : result.m_items) {
                 if (item.m_key == key && item.m_value == commit.m_puts.front().m_value) {
                     m_store_failing = false;
+                    batch.m_revision = item.m_revision.get();
                     ++m_next_log_number;
                     co_return true;
                 }
@@ -607,8 +614,9 @@
             !before.m_answered || !request->m_deadline_ms ? milliseconds(0) : hold_wait(before);
         const time_point sent = read_boot_clock();
         hold_request copy = *request;
+        const fencing_token token = token_of(m_shard, worker);
         const auto [report, outcome] = co_await m_dependencies.m_workers->hold(
-            std::move(copy), m_shard.m_token, wait, before.m_info.m_zone, may_relay());
+            std::move(copy), token, wait, before.m_info.m_zone, may_relay());
         // Ends that are not acknowledged are reported again, to the next owner of the shard.
         if (m_stopped || m_releasing) {
             break;
@@ -624,7 +632,8 @@
             timer.expires_after(unstored ? ack_hold_delay : hold_interval);
         }
         else {
-            apply_hold_failure(m_shard, worker, outcome, now);
+            apply_hold_failure(m_shard, worker, judge_refusal(m_shard, worker, token, outcome),
+                               now);
             schedule_plan();
             timer.expires_after(pause.next());
         }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -260,6 +260,10 @@
 /// clock, stops stalled runs, and queues stop orders that are due.
 void check_worker(shard& state, const worker_id& id, worker_record& worker, time_point now)
 {
+    if (settle(worker.m_guard, worker.m_incarnation_start_ms, now)) {
+        state.m_pending.m_entries.emplace_back(
+            log_worker_incarnation{id, worker.m_incarnation_start_ms, true});
+    }
     if (!worker.m_lease_ended && now > worker.m_lease_until) {
         state.m_log_lines.push_back("worker's lease ended: worker=" + id.str() +
                                     " runs=" + std::to_string(worker.m_runs.size()));
@@ -338,9 +342,9 @@
 
 bool accepts_starts(const worker_record& worker, time_point now)
 {
-    return worker.m_answered && worker.m_use_stored && !worker.m_lease_ended && !worker.m_gone &&
-           !worker.m_no_connection && !worker.m_cordoned && !worker.m_info.m_draining &&
-           worker.m_quarantined_until <= now &&
+    return worker.m_answered && worker.m_use_stored && worker.m_guard.m_complete &&
+           !worker.m_lease_ended && !worker.m_gone && !worker.m_no_connection &&
+           !worker.m_cordoned && !worker.m_info.m_draining && worker.m_quarantined_until <= now &&
            (worker.m_listed || now - worker.m_unlisted_since < unlisted_start_grace) &&
            now - worker.m_last_heard_at < max_report_age;
 }
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -483,6 +483,25 @@
     worker.m_lease_until = std::max(worker.m_lease_until, until);
 }
 
+fencing_token token_of(const shard& state, const worker_id& worker)
+{
+    const auto found = state.m_workers.find(worker);
+    return found == state.m_workers.end() ? state.m_token
+                                          : std::max(state.m_token, found->second->m_guard.m_token);
+}
+
+order_outcome judge_refusal(shard& state, const worker_id& worker, fencing_token sent,
+                            order_outcome outcome)
+{
+    if (outcome != order_outcome::refused_stale_token || sent >= token_of(state, worker)) {
+        return outcome;
+    }
+    state.m_log_lines.push_back("restarted worker refused a call for its former incarnation: "
+                                "worker=" +
+                                worker.str() + " token=" + std::to_string(sent.get()));
+    return order_outcome::withheld;
+}
+
 std::optional<hold_request> next_hold_request(shard& state, const worker_id& id, time_point now)
 {
     const auto found = state.m_workers.find(id);
@@ -490,6 +509,7 @@
         return std::nullopt;
     }
     worker_record& worker = *found->second;
+    note_hold_prepared(worker.m_guard, now);
     // A request without an answer may still have extended the lease. After a failure the request
     // carries no deadline, so that the lease of a lost worker expires, and acknowledges nothing,
     // since the worker may have restarted.
@@ -530,12 +550,26 @@
         worker.m_clock_ms = report.m_clock_ms;
         worker.m_clock_at = now;
     }
-    if (!worker.m_answered || worker.m_lease_ended) {
-        // A lease that was granted before and still runs lasts no longer than one granted now.
+    const bool is_first = !worker.m_answered || worker.m_lease_ended;
+    const duration longest_lease = longest_real_time(state.m_bounds.m_max_worker_lease);
+    if (note_answer(worker.m_guard, worker.m_incarnation_start_ms, sent, now, longest_lease)) {
+        worker.m_lease_until = std::max(worker.m_lease_until, now + longest_lease);
+    }
+    if (is_first) {
+        // A lease that was granted before to a settled incarnation and still runs lasts no longer
+        // than one granted now.
         worker.m_answered = true;
         state.m_awaited_workers.erase(id);
         worker.m_lease_until =
             std::max(worker.m_lease_until, now + longest_real_time(state.m_bounds.m_worker_lease));
+        if (worker.m_guard.m_settles_at != time_point{}) {
+            state.m_log_lines.push_back(
+                "lease of a restarted worker may be the longest: worker=" + id.str() +
+                " start_ms=" + std::to_string(worker.m_incarnation_start_ms) +
+                " runs=" + std::to_string(report.m_running.size()) + " for_ms=" +
+                std::to_string(
+                    std::chrono::duration_cast<milliseconds>(worker.m_lease_until - now).count()));
+        }
     }
     worker.m_lease_ended = false;
     worker.m_hold_failed = false;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -25,6 +25,10 @@
     worker_record& added = *worker;
     state.m_workers[listing.m_id] = std::move(worker);
     state.m_pending.m_entries.emplace_back(log_worker_used{listing.m_id, listing.m_address});
+    // No owner has called a former incarnation.
+    added.m_guard.m_settled_start_ms = listing.m_incarnation_start_ms;
+    state.m_pending.m_entries.emplace_back(
+        log_worker_incarnation{listing.m_id, listing.m_incarnation_start_ms, true});
     return added;
 }
 
@@ -244,17 +248,39 @@
             state.m_awaited_workers.insert(id);
         }
     }
+    else if (const auto* incarnation = std::get_if<log_worker_incarnation>(&entry)) {
+        const auto found = state.m_workers.find(incarnation->m_worker);
+        if (found != state.m_workers.end()) {
+            found->second->m_guard.m_settled_start_ms =
+                incarnation->m_settled ? incarnation->m_start_ms : 0;
+            found->second->m_restart_known = !incarnation->m_settled;
+        }
+    }
     else if (const auto* contract = std::get_if<log_queue_contract>(&entry)) {
         state.m_logged_contracts[contract->m_contract.m_queue] = contract->m_contract;
     }
 }
 
+/// Waits for workers of former owners for the longest lease that a worker grants: one of them has
+/// restarted, so that a call for its former incarnation may have given it that lease.
+void await_longest_lease(shard& state, time_point now)
+{
+    state.m_awaited_until =
+        std::max(state.m_awaited_until, now + longest_real_time(state.m_bounds.m_max_worker_lease));
+}
+
 void finish_replay(shard& state, time_point now, wall_time wall)
 {
     state.m_loaded = true;
     state.m_pending.m_entries.emplace_back(log_ownership_taken{state.m_token.get()});
     state.m_awaited_until = now + state.m_bounds.m_unproven_renewal_time +
                             longest_real_time(state.m_bounds.m_worker_lease);
+    for (const worker_id& id : state.m_awaited_workers) {
+        const auto found = state.m_workers.find(id);
+        if (found != state.m_workers.end() && found->second->m_restart_known) {
+            await_longest_lease(state, now);
+        }
+    }
     std::vector<submission_record*> finished;
     for (submission_record* record : state.m_open_submissions) {
         set_deadlines(state, *record);
@@ -329,11 +355,13 @@
     worker.m_incarnation_start_ms = start_ms;
     worker.m_incarnation_known_at = now;
     worker.m_lease_ended = kept == 0;
-    if (kept > 0) {
-        // A start order carries a deadline by the clock of the incarnation that it was meant for.
-        worker.m_lease_until = std::max(worker.m_lease_until,
-                                        now + longest_real_time(state.m_bounds.m_max_worker_lease));
-    }
+    // Calls under way carry deadlines by the clock of the incarnation that they were meant for.
+    worker.m_lease_until =
+        std::max(worker.m_lease_until, now + longest_real_time(state.m_bounds.m_max_worker_lease));
+    begin_guard(worker.m_guard);
+    ++state.m_restarts;
+    state.m_pending.m_entries.emplace_back(
+        log_worker_incarnation{worker.m_info.m_id, start_ms, false});
 }
 
 void update_worker(shard& state, const worker_listing& listing, time_point now)
@@ -349,6 +377,14 @@
         listing.m_incarnation_start_ms > worker.m_incarnation_start_ms) {
         begin_incarnation(state, worker, listing.m_incarnation_start_ms, now);
     }
+    const incarnation_guard& guard = worker.m_guard;
+    if (!worker.m_restart_known && listing.m_incarnation_start_ms != 0 &&
+        guard.m_settled_start_ms != 0 &&
+        listing.m_incarnation_start_ms != guard.m_settled_start_ms &&
+        state.m_awaited_workers.contains(listing.m_id)) {
+        worker.m_restart_known = true;
+        await_longest_lease(state, now);
+    }
     const bool drained_before = worker.m_info.m_draining;
     worker.m_info = listing;
     worker.m_listed = true;
@@ -458,6 +494,13 @@
                 found->second->m_use_stored = true;
             }
         }
+        else if (const auto* incarnation = std::get_if<log_worker_incarnation>(&entry)) {
+            const auto found = state.m_workers.find(incarnation->m_worker);
+            if (found != state.m_workers.end() && !incarnation->m_settled &&
+                found->second->m_incarnation_start_ms == incarnation->m_start_ms) {
+                set_guard_token(found->second->m_guard, fencing_token(batch.m_revision));
+            }
+        }
         else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
             const auto found = state.m_submissions.find(cancelled->m_id);
             if (found != state.m_submissions.end() && !found->second->m_final_decided) {
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -12,6 +12,7 @@
 
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
+#include "schedule/incarnation_guard.h"
 #include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
@@ -145,8 +146,10 @@
 /// The owner's view of a worker: its current incarnation, lease, runs and health.
 struct worker_record {
     worker_listing m_info;
-    bool m_use_stored = false; ///< The stored log says that the worker is in use.
-    bool m_listed = false;     ///< It was in the platform's list at the last reading.
+    bool m_use_stored = false;    ///< The stored log says that the worker is in use.
+    bool m_restart_known = false; ///< It restarted under a former owner; its present incarnation
+                                  ///< is not settled.
+    bool m_listed = false;        ///< It was in the platform's list at the last reading.
     time_point m_unlisted_since{};
     time_point m_unlisted_noted{};       ///< Start of the last unlisted period that was logged.
     time_point m_other_incarnation_at{}; ///< When another incarnation last answered in its place.
@@ -154,6 +157,7 @@
     bool m_answered = false; ///< It has answered a hold with this owner's fencing token.
     std::int64_t m_incarnation_start_ms = 0; ///< Unix time; zero if unknown.
     time_point m_incarnation_known_at{};     ///< When this owner learned of the incarnation.
+    incarnation_guard m_guard;               ///< Against calls for former incarnations.
     std::int64_t m_clock_ms = 0;             ///< Its clock at the last answer.
     time_point m_clock_at{};                 ///< When that answer arrived.
     time_point m_last_heard_at{};            ///< When it last answered.
@@ -189,6 +193,7 @@
 /// Entries that one write appends to the submission log.
 struct log_batch {
     std::uint64_t m_number = 0;
+    std::int64_t m_revision = 0; ///< Of the store, after the write; set by the caller.
     std::vector<log_entry> m_entries;
     std::vector<end_position> m_ends; ///< Run ends that become durable.
 };
@@ -285,6 +290,7 @@
         0; ///< Long-running tasks without a worker in the last plan.
     std::uint32_t m_unplaced_by_evacuation = 0; ///< The same in the last review, of tasks to move.
     std::uint32_t m_reserved_workers = 0;       ///< Metric: workers reserved in the last plan.
+    std::uint64_t m_restarts = 0;               ///< Metric: new incarnations of known workers.
     std::uint64_t m_starts = 0;                 ///< Metric: start orders.
     std::uint64_t m_starts_on_reserved = 0;     ///< Metric: start orders to reserved workers.
     std::uint64_t m_candidates = 0;             ///< Metric: workers examined for placement.
@@ -351,9 +357,18 @@
 std::optional<log_batch> take_batch(shard& state);
 
 /// Records that a batch is durable: publishes its states, executes its cancellations and marks its
-/// run ends for acknowledgement.
+/// run ends for acknowledgement. The batch's revision, which is above those of all earlier writes
+/// of all owners, is the fencing token for the workers of which it logs a new incarnation.
 void mark_batch_stored(shard& state, const log_batch& batch, wall_time wall);
 
+/// The fencing token of calls to a worker.
+fencing_token token_of(const shard& state, const worker_id& worker);
+
+/// The outcome of a call that was sent with a token. A worker that refuses it because of a higher
+/// token of this same owner has done nothing, and no other owner is behind it.
+order_outcome judge_refusal(shard& state, const worker_id& worker, fencing_token sent,
+                            order_outcome outcome);
+
 /// The next hold for a worker; empty if the worker is unknown or this owner has been superseded.
 std::optional<hold_request> next_hold_request(shard& state, const worker_id& worker,
                                               time_point now);
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -143,6 +143,12 @@
     contract.m_advice_validity = milliseconds(validity_ms);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, log_worker_incarnation& value)
+{
+    archive(value.m_worker, value.m_start_ms, value.m_settled);
+}
+
 std::string encode_log(const std::vector<log_entry>& entries)
 {
     return encode_value(entries);
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -74,10 +74,18 @@
     queue_contract m_contract;
 };
 
+/// Log entry: a worker runs an incarnation. It is settled once calls for former incarnations can no
+/// longer have lengthened its lease; see schedule/incarnation_guard.h.
+struct log_worker_incarnation {
+    worker_id m_worker;
+    std::int64_t m_start_ms = 0; ///< Start of the incarnation; Unix time.
+    bool m_settled = false;
+};
+
 /// One entry of a shard's log. The encoding stores the index of the alternative: append new ones.
 using log_entry = std::variant<log_accepted, log_cancelled, log_task_ended, log_closed, log_purged,
                                log_worker_used, log_worker_gone, log_ownership_released,
-                               log_ownership_taken, log_queue_contract>;
+                               log_ownership_taken, log_queue_contract, log_worker_incarnation>;
 
 /// Encodes the entries that are written to the store in one record.
 std::string encode_log(const std::vector<log_entry>& entries);
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -163,7 +163,8 @@
         log_closed{submission_id("a"), submission_state::failed, 9},
         log_ownership_released{{worker_id("w")}},
         log_ownership_taken{3},
-        log_queue_contract{contract}};
+        log_queue_contract{contract},
+        log_worker_incarnation{worker_id("w"), 1700000000123, true}};
     const auto read = decode_log(encode_log(entries));
     REQUIRE(read.has_value());
     REQUIRE(read->size() == entries.size());
@@ -171,6 +172,10 @@
     CHECK(std::get<log_task_ended>(read->at(1)).m_task.m_index == 2);
     CHECK(std::get<log_task_ended>(read->at(1)).m_run == run_number(7));
     CHECK((std::get<log_queue_contract>(read->at(5)).m_contract == contract));
+    const auto& incarnation = std::get<log_worker_incarnation>(read->at(6));
+    CHECK(incarnation.m_worker == worker_id("w"));
+    CHECK(incarnation.m_start_ms == 1700000000123);
+    CHECK(incarnation.m_settled);
     CHECK_FALSE(decode_log("").has_value());
     CHECK_FALSE(decode_log("\x09xyz").has_value());
     CHECK((decode_submission_bytes(encode_submission(what)) == what));
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -553,14 +553,17 @@
             apply_hold_failure(owner.m_shard, id, order_outcome::other_incarnation, m_now);
             continue;
         }
-        const std::int64_t token = owner.m_shard.m_token.get();
+        const std::int64_t token = token_of(owner.m_shard, id).get();
         if (worker.m_delayed_hold_share > 0 && chance(m_random) < worker.m_delayed_hold_share) {
             m_delayed_holds.push_back({m_now + random_delay(m_random), i, *request, token, m_now});
             apply_hold_failure(owner.m_shard, id, order_outcome::unknown, m_now);
             continue;
         }
         if (token < worker.m_token) {
-            apply_hold_failure(owner.m_shard, id, order_outcome::refused_stale_token, m_now);
+            apply_hold_failure(owner.m_shard, id,
+                               judge_refusal(owner.m_shard, id, fencing_token(token),
+                                             order_outcome::refused_stale_token),
+                               m_now);
             continue;
         }
         accept_hold(worker, *request, token);
@@ -601,6 +604,7 @@
         if (!owner.m_written) {
             return;
         }
+        owner.m_written->m_revision = m_next_token++;
         owner.m_write_answer_at = m_now;
         owner.m_written_early = false;
         if (m_max_write_time > milliseconds(0)) {
@@ -671,6 +675,7 @@
             });
         const auto worker = static_cast<std::size_t>(found - m_workers.begin());
         order_outcome outcome = order_outcome::unknown;
+        const fencing_token token = token_of(owner.m_shard, order.m_worker);
         if (order.m_kind == worker_order::kind::start &&
             m_cancelled.contains(order.m_task.m_submission.str())) {
             m_violations.push_back("UNASKED ordered after cancel " + to_string(order.m_task));
@@ -684,11 +689,12 @@
             outcome = order_outcome::not_sent;
         }
         else if (chance(m_random) < found->m_delayed_share) {
-            m_delayed_orders.push_back({m_now + random_delay(m_random), worker, order,
-                                        owner.m_shard.m_token.get(), m_now});
+            m_delayed_orders.push_back(
+                {m_now + random_delay(m_random), worker, order, token.get(), m_now});
         }
         else {
-            outcome = carry_out(worker, order, owner.m_shard.m_token.get());
+            outcome = judge_refusal(owner.m_shard, order.m_worker, token,
+                                    carry_out(worker, order, token.get()));
         }
         answer_order(index, order, outcome);
     }
