Look for room to reserve once per planning round

Suspected cause, from reading: each step without room looked at the runs of all workers of the pool, in each round, when no worker would have room for it.

Change: the room of all workers is determined once in a round, and the ends of runs are sorted for the worker that is reserved only.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -42,6 +42,9 @@
 {
     worker_record& worker = *candidate.m_worker;
     candidate.m_free = candidate.m_free - request.m_demand;
+    if (request.m_step->m_long_running) {
+        candidate.m_room = candidate.m_room - request.m_demand;
+    }
     run_slot slot;
     slot.m_task = request.m_name;
     slot.m_run = run;
--- a/src/schedule/worker_choice.cpp
+++ b/src/schedule/worker_choice.cpp
@@ -124,9 +124,23 @@
     return std::max<duration>(left >= duration(0) ? left : -left, min_remaining_time);
 }
 
-/// When a demand is expected to fit on a worker; empty if the ends of runs will not leave room.
-std::optional<time_point> expected_room_at(const shard& state, const candidate_worker& candidate,
-                                           const resources& demand, time_point now)
+/// Determines the room of each candidate.
+void find_rooms(const shard& state, candidate_workers& candidates, time_point now)
+{
+    for (candidate_worker& candidate : candidates.m_workers) {
+        candidate.m_room = candidate.m_free;
+        for (const auto& [key, slot] : candidate.m_worker->m_runs) {
+            if (remaining_time(state, slot, now)) {
+                candidate.m_room = candidate.m_room + slot.m_reserved;
+            }
+        }
+    }
+    candidates.m_has_rooms = true;
+}
+
+/// When a demand that is within a worker's room is expected to fit there.
+time_point expected_room_at(const shard& state, const candidate_worker& candidate,
+                            const resources& demand, time_point now)
 {
     std::vector<std::pair<duration, const run_slot*>> ends;
     for (const auto& [key, slot] : candidate.m_worker->m_runs) {
@@ -137,13 +151,15 @@
     std::stable_sort(ends.begin(), ends.end(),
                      [](const auto& left, const auto& right) { return left.first < right.first; });
     resources free = candidate.m_free;
+    time_point room_at = now;
     for (const auto& [left, slot] : ends) {
-        free = free + slot->m_reserved;
         if (fits(demand, free)) {
-            return now + left;
+            break;
         }
+        free = free + slot->m_reserved;
+        room_at = now + left;
     }
-    return std::nullopt;
+    return room_at;
 }
 
 /// True when the task needs no ticket or holds a valid one for the worker.
@@ -250,31 +266,26 @@
     if (candidates.m_reserved.size() >= candidates.m_max_reserved) {
         return false;
     }
+    if (!candidates.m_has_rooms) {
+        find_rooms(state, candidates, now);
+    }
     const bool waits_for_rack = waits_for_data_rack(state, request, now);
-    std::vector<std::size_t> usable; ///< Positions among the candidates.
-    for (std::size_t i = 0; i < candidates.m_workers.size(); ++i) {
-        const worker_record& worker = *candidates.m_workers[i].m_worker;
-        if (fits(request.m_demand, worker.m_info.m_capacity) &&
-            satisfies_constraints(worker, request) &&
-            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack)) {
-            usable.push_back(i);
+    auto best = candidates.m_workers.end();
+    for (auto it = candidates.m_workers.begin(); it != candidates.m_workers.end(); ++it) {
+        const worker_record& worker = *it->m_worker;
+        if (fits(request.m_demand, it->m_room) && satisfies_constraints(worker, request) &&
+            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack) &&
+            (best == candidates.m_workers.end() ||
+             it->m_free.m_cpu_millis > best->m_free.m_cpu_millis)) {
+            best = it;
         }
     }
-    std::stable_sort(usable.begin(), usable.end(), [&](std::size_t left, std::size_t right) {
-        return candidates.m_workers[left].m_free.m_cpu_millis >
-               candidates.m_workers[right].m_free.m_cpu_millis;
-    });
-    for (const std::size_t position : usable) {
-        const auto candidate = candidates.m_workers.begin() + static_cast<std::ptrdiff_t>(position);
-        const std::optional<time_point> room_at =
-            expected_room_at(state, *candidate, request.m_demand, now);
-        if (room_at) {
-            candidates.m_reserved.push_back({*candidate, *room_at});
-            candidates.m_workers.erase(candidate);
-            return true;
-        }
+    if (best == candidates.m_workers.end()) {
+        return false;
     }
-    return false;
+    candidates.m_reserved.push_back({*best, expected_room_at(state, *best, request.m_demand, now)});
+    candidates.m_workers.erase(best);
+    return true;
 }
 
 candidate_worker* choose_reserved_worker(const shard& state, candidate_workers& candidates,
--- a/src/schedule/worker_choice.h
+++ b/src/schedule/worker_choice.h
@@ -9,6 +9,7 @@
 struct candidate_worker {
     resources m_free;
     worker_record* m_worker = nullptr;
+    resources m_room{}; ///< Free capacity once all runs that will end have ended; see m_has_rooms.
 };
 
 /// A worker that is kept for a task which fits on none now.
@@ -24,6 +25,8 @@
     std::vector<reserved_worker> m_reserved; ///< No longer among m_workers.
     std::vector<resources> m_unplaceable;    ///< Demands that fit on no worker.
     std::size_t m_max_reserved = 0;          ///< Limit of reserved workers in this pass.
+    bool m_has_rooms = false; ///< The rooms of the candidates are known, from the first reservation
+                              ///< in the pass on.
 };
 
 /// A task to place, with its constraints and the resources that a start reserves.
