Limit a submission that is put first to one start

Cause: a submission that was put first because it was starving started all of its tasks that fitted, up to dozens of large ones a second, before the work that can be on time.

Change: it is put back after one start, as the ranking's description says.

The cases of reserved_workers_test pass. There is no test of the limit itself.

--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -195,7 +195,9 @@
 void start_ready_tasks(shard& state, time_point now)
 {
     candidate_workers candidates = find_candidate_workers(state, now);
+    submission_record* put_back = nullptr;
     for (submission_record* record : state.m_ranked) {
+        const bool is_starving = record->m_starving;
         for (std::uint32_t occurrence_index = 0; occurrence_index < record->m_occurrences.size();
              ++occurrence_index) {
             occurrence_state& occurrence = record->m_occurrences[occurrence_index];
@@ -204,7 +206,7 @@
             }
             for (std::uint32_t step_index = 0; step_index < occurrence.m_steps.size();
                  ++step_index) {
-                if (occurrence.m_ready_tasks[step_index] == 0 ||
+                if (put_back == record || occurrence.m_ready_tasks[step_index] == 0 ||
                     !predecessors_done(record->m_definition.m_steps[step_index], occurrence)) {
                     continue;
                 }
@@ -232,6 +234,10 @@
                     }
                     if (worker != nullptr) {
                         start_run(state, request, task, *worker, allocate_run_number(state), now);
+                        if (is_starving) {
+                            put_back = record;
+                            break;
+                        }
                         continue;
                     }
                     state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
@@ -245,6 +251,11 @@
             }
         }
     }
+    if (put_back != nullptr) {
+        // The next ranking gives it its place; one start is all that it was put first for.
+        const auto found = std::find(state.m_ranked.begin(), state.m_ranked.end(), put_back);
+        std::rotate(found, std::next(found), state.m_ranked.end());
+    }
     state.m_reserved_workers = static_cast<std::uint32_t>(candidates.m_reserved.size());
 }
 
