Know the organisations of the platform's configuration and check their keys

Change: tenants are decoded to organisations with keys kept as digests, weight and cap; a request to a route that is not public needs a known key (401); a submission belongs to the organisation of its key, which the log keeps, and other organisations get 403. Without tenants nothing is asked for.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -59,6 +59,8 @@
 using zone_id = string_id<struct zone_tag>;
 using rack_id = string_id<struct rack_tag>;
 using customer_id = string_id<struct customer_tag>;
+/// An organisation of the platform's configuration; the same idea as the customer of a contract.
+using organisation_id = customer_id;
 using service_id = string_id<struct service_tag>;
 using endpoint_id = string_id<struct endpoint_tag>;
 using pool_id = string_id<struct pool_tag>;
--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -140,6 +140,7 @@
             caller_request received;
             received.m_method = std::string(request.method_string());
             received.m_host = std::string(request[http::field::host]);
+            received.m_authorization = std::string(request[http::field::authorization]);
             received.m_path = std::string(request.target());
             received.m_timeout = parse_timeout(request);
             received.m_body = std::move(parser.get().body());
--- a/src/dispatch/caller_server.h
+++ b/src/dispatch/caller_server.h
@@ -14,8 +14,9 @@
 /// The parts of a caller's HTTP request that determine the response.
 struct caller_request {
     std::string m_method;
-    std::string m_host; ///< Host header; may include a port.
-    std::string m_path; ///< Request target, with its query.
+    std::string m_host;          ///< Host header; may include a port.
+    std::string m_path;          ///< Request target, with its query.
+    std::string m_authorization; ///< Authorization header; empty if there is none.
     std::string m_body;
     milliseconds m_timeout{0}; ///< How long the caller waits; zero if it sent no valid value.
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -229,7 +229,8 @@
     dependencies.m_store_unreachable_for_all = [this] { return is_store_unreachable_for_all(); };
     auto owner = std::make_shared<shard_owner>(std::move(dependencies), shard, token);
     m_owners[shard] = owner;
-    owner->start(queue_contracts());
+    owner->start(queue_contracts(),
+                 m_config ? m_config->m_organisations : organisation_directory());
 }
 
 void dispatcher::on_shard_lost(const service_id& shard)
@@ -275,6 +276,7 @@
     m_registry.set_shards(std::move(shards));
     for (const auto& [shard, owner] : m_owners) {
         owner->set_queues(queue_contracts());
+        owner->set_organisations(m_config->m_organisations);
     }
     log_info("config: applied version=" + std::to_string(m_config->m_version) +
              " revision=" + std::to_string(item.m_revision.get()) +
@@ -476,13 +478,14 @@
             reply.m_answer = owner_answer::refused;
             co_return reply;
         }
-        co_return co_await owner->submit(submit->m_queue, submit->m_id, std::move(*decoded));
+        co_return co_await owner->submit(submit->m_queue, submit->m_id, std::move(*decoded),
+                                         submit->m_organisation);
     }
     if (auto* cancel = std::get_if<cancel_request>(&message)) {
-        co_return co_await owner->cancel(cancel->m_id);
+        co_return co_await owner->cancel(cancel->m_id, cancel->m_organisation);
     }
     if (auto* state = std::get_if<state_request>(&message)) {
-        co_return owner->state(state->m_id);
+        co_return owner->state(state->m_id, state->m_organisation);
     }
     if (auto* count = std::get_if<count_request>(&message)) {
         co_return owner->count(count->m_queue);
@@ -529,8 +532,9 @@
         std::optional<owner_reply> answer =
             co_await call_owner_once(service, std::move(copy), timeout - taken);
         reply = *answer;
-        const bool is_settled =
-            reply.m_answer == owner_answer::done || reply.m_answer == owner_answer::none;
+        const bool is_settled = reply.m_answer == owner_answer::done ||
+                                reply.m_answer == owner_answer::none ||
+                                reply.m_answer == owner_answer::forbidden;
         is_unknown = is_unknown || reply.m_answer == owner_answer::unknown;
         if (is_unknown && !is_settled) {
             // A later refusal says nothing about the earlier attempt.
@@ -550,6 +554,7 @@
 }
 
 asio::awaitable<caller_answer> dispatcher::handle_submit(const queue_route& route, submission_id id,
+                                                         organisation_id organisation,
                                                          caller_request request)
 {
     const std::optional<submission> decoded = platform::decode_submission(request.m_body);
@@ -557,7 +562,8 @@
         co_return make_answer(http_status::bad_request, R"({"error":")" + last_reason() + "\"}");
     }
     const service_id service = route.m_contract.m_service;
-    submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*decoded)};
+    submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*decoded),
+                          std::move(organisation)};
     host_message message(std::move(submit));
     const owner_reply reply =
         co_await call_owner(service, std::move(message), owner_timeout(request.m_timeout));
@@ -574,6 +580,8 @@
                  " answer=" + std::to_string(static_cast<int>(reply.m_answer)));
         co_return make_answer(http_status::unavailable, {},
                               std::max(min_retry_after_s, reply.m_retry_after_s));
+    case owner_answer::forbidden:
+        co_return make_answer(http_status::forbidden);
     case owner_answer::unknown:
         break;
     }
@@ -686,6 +694,11 @@
                                     read_boot_clock()));
         co_return make_answer(http_status::not_found);
     }
+    const std::optional<organisation_id> organisation =
+        authorize(*m_config, *found, request.m_authorization);
+    if (!organisation) {
+        co_return make_answer(http_status::unauthorized);
+    }
     const queue_route route = *found;
     const std::string rest = path.substr(route.m_path.size());
     const service_id service = route.m_contract.m_service;
@@ -708,10 +721,10 @@
     }
     const submission_id id(rest);
     if (request.m_method == "POST") {
-        co_return co_await handle_submit(route, id, std::move(request));
+        co_return co_await handle_submit(route, id, *organisation, std::move(request));
     }
     if (request.m_method == "GET") {
-        host_message message(state_request{service, id});
+        host_message message(state_request{service, id, *organisation});
         const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
         if (reply.m_answer == owner_answer::done) {
@@ -723,10 +736,13 @@
                                      m_noted, read_boot_clock()));
             co_return make_answer(http_status::gone);
         }
+        if (reply.m_answer == owner_answer::forbidden) {
+            co_return make_answer(http_status::forbidden);
+        }
         co_return make_answer(http_status::unavailable, {}, min_retry_after_s);
     }
     if (request.m_method == "DELETE") {
-        host_message message(cancel_request{service, id});
+        host_message message(cancel_request{service, id, *organisation});
         const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
         note(describe_cancellation(make_request_note(route, id, "DELETE", reply, started_at)));
@@ -736,6 +752,9 @@
         if (reply.m_answer == owner_answer::none) {
             co_return make_answer(http_status::gone);
         }
+        if (reply.m_answer == owner_answer::forbidden) {
+            co_return make_answer(http_status::forbidden);
+        }
         const bool unknown = reply.m_answer == owner_answer::unknown;
         co_return make_answer(unknown ? http_status::gateway_timeout : http_status::unavailable, {},
                               unknown ? 0 : min_retry_after_s);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -50,6 +50,7 @@
     asio::awaitable<caller_answer> handle_metrics_request(caller_request request);
     [[nodiscard]] std::string format_metrics() const;
     asio::awaitable<caller_answer> handle_submit(const queue_route& route, submission_id id,
+                                                 organisation_id organisation,
                                                  caller_request request);
     /// Sends a message to the owner of a service, and retries for a short time while it has none.
     asio::awaitable<owner_reply> call_owner(service_id service, host_message message,
--- a/src/dispatch/operator_config.cpp
+++ b/src/dispatch/operator_config.cpp
@@ -1,5 +1,10 @@
 #include "dispatch/operator_config.h"
 
+#include <algorithm>
+#include <cctype>
+
+#include "core/result.h"
+
 namespace guavabay {
 
 const queue_route* find_route(const operator_config& config, std::string_view host,
@@ -19,4 +24,31 @@
     return best;
 }
 
+std::optional<organisation_id> authorize(const operator_config& config, const queue_route& route,
+                                         std::string_view authorization)
+{
+    if (route.m_public || config.m_organisations.empty()) {
+        return organisation_id();
+    }
+    constexpr std::string_view scheme = "bearer ";
+    const bool is_bearer =
+        authorization.size() > scheme.size() &&
+        std::equal(scheme.begin(), scheme.end(), authorization.begin(), [](char left, char right) {
+            return left == std::tolower(static_cast<unsigned char>(right));
+        });
+    if (!is_bearer) {
+        return fail("the request has no bearer key");
+    }
+    authorization.remove_prefix(scheme.size());
+    const std::size_t begin = authorization.find_first_not_of(' ');
+    const organisation* found =
+        begin == std::string_view::npos
+            ? nullptr
+            : config.m_organisations.find_by_key(authorization.substr(begin));
+    if (found == nullptr) {
+        return fail("the key belongs to no organisation");
+    }
+    return found->m_id;
+}
+
 } // namespace guavabay
--- a/src/dispatch/operator_config.h
+++ b/src/dispatch/operator_config.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "contract/organisation.h"
 #include "core/time.h"
 #include "schedule/shard.h"
 
@@ -16,6 +17,7 @@
     std::string m_host;        ///< Host header of matching requests, without a port.
     std::string m_path;        ///< Path prefix of matching requests.
     milliseconds m_timeout{0}; ///< The operator's timeout of the route; currently not enforced.
+    bool m_public = false;     ///< Requests need no key, and their work belongs to nobody.
     queue_contract m_contract;
 };
 
@@ -40,6 +42,7 @@
     std::vector<queue_route> m_routes;
     std::vector<pool_config> m_pools;
     request_limits m_limits;
+    organisation_directory m_organisations; ///< Empty: requests need no key.
 };
 
 /// Finds the route of a request: among the routes of its host, the one with the longest path prefix
@@ -48,4 +51,10 @@
 const queue_route* find_route(const operator_config& config, std::string_view host,
                               std::string_view path);
 
+/// Finds the organisation that a request to a route belongs to, by the value of its Authorization
+/// header. The id is empty if the route is public or the configuration has no organisations. Empty
+/// result, with a reason, if the key is missing or unknown.
+std::optional<organisation_id> authorize(const operator_config& config, const queue_route& route,
+                                         std::string_view authorization);
+
 } // namespace guavabay
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -131,9 +131,11 @@
     m_log_prefix = "l/" + m_shard.m_service.str() + "/";
 }
 
-void shard_owner::start(const std::vector<queue_contract>& queues)
+void shard_owner::start(const std::vector<queue_contract>& queues,
+                        const organisation_directory& organisations)
 {
     guavabay::set_queues(m_shard, queues);
+    guavabay::set_organisations(m_shard, organisations);
     spawn(*m_dependencies.m_context, "the owner of a shard",
           [self = shared_from_this()]() { return self->run(); });
 }
@@ -177,6 +179,11 @@
     guavabay::set_queues(m_shard, queues);
 }
 
+void shard_owner::set_organisations(const organisation_directory& organisations)
+{
+    guavabay::set_organisations(m_shard, organisations);
+}
+
 void shard_owner::set_workers(const std::vector<worker_listing>& listings)
 {
     if (m_stopped || !m_shard.m_loaded) {
@@ -499,7 +506,11 @@
 
 void shard_owner::withdraw_submissions(std::vector<log_entry>& entries)
 {
-    std::erase_if(entries, [this](const log_entry& entry) {
+    std::set<submission_id> withdrawn;
+    std::erase_if(entries, [&](const log_entry& entry) {
+        if (const auto* owner = std::get_if<log_submission_organisation>(&entry)) {
+            return withdrawn.contains(owner->m_id);
+        }
         const auto* accepted = std::get_if<log_accepted>(&entry);
         if (accepted == nullptr) {
             return false;
@@ -517,6 +528,7 @@
             it->second->m_timer->cancel();
         }
         withdraw(m_shard, accepted->m_id);
+        withdrawn.insert(accepted->m_id);
         return true;
     });
 }
@@ -669,13 +681,18 @@
     co_return waiting.m_stored ? wait_result::stored : wait_result::unknown;
 }
 
-asio::awaitable<owner_reply> shard_owner::submit(queue_id queue, submission_id id, submission what)
+asio::awaitable<owner_reply> shard_owner::submit(queue_id queue, submission_id id, submission what,
+                                                 organisation_id organisation)
 {
     owner_reply reply;
     if (m_stopped || m_releasing || !m_shard.m_loaded || !is_lease_valid()) {
         reply.m_answer = owner_answer::not_owner;
         co_return reply;
     }
+    if (!is_accessible(m_shard, id, organisation)) {
+        reply.m_answer = owner_answer::forbidden;
+        co_return reply;
+    }
     const bool known = m_shard.m_submissions.contains(id);
     if (m_store_failing && !m_writing && read_boot_clock() > m_store_retry_at) {
         // No write is pending that would show whether the store has recovered, so this
@@ -687,8 +704,8 @@
         reply.m_retry_after_s = retry_after_store_s;
         co_return reply;
     }
-    const admission_result result =
-        admit(m_shard, id, queue, std::move(what), read_boot_clock(), read_wall_clock());
+    const admission_result result = admit(m_shard, id, queue, std::move(what), read_boot_clock(),
+                                          read_wall_clock(), organisation);
     if (result.m_answer == admission::refused) {
         reply.m_answer = owner_answer::refused;
         reply.m_retry_after_s = static_cast<std::uint32_t>(result.m_retry_after.count());
@@ -719,13 +736,17 @@
     co_return reply;
 }
 
-asio::awaitable<owner_reply> shard_owner::cancel(submission_id id)
+asio::awaitable<owner_reply> shard_owner::cancel(submission_id id, organisation_id organisation)
 {
     owner_reply reply;
     if (m_stopped || m_releasing || !m_shard.m_loaded || !is_lease_valid()) {
         reply.m_answer = owner_answer::not_owner;
         co_return reply;
     }
+    if (!is_accessible(m_shard, id, organisation)) {
+        reply.m_answer = owner_answer::forbidden;
+        co_return reply;
+    }
     note_cancellation(m_shard, id, read_boot_clock());
     flush_log_lines();
     const bool known = guavabay::cancel(m_shard, id);
@@ -753,7 +774,7 @@
     co_return reply;
 }
 
-owner_reply shard_owner::state(const submission_id& id) const
+owner_reply shard_owner::state(const submission_id& id, const organisation_id& organisation) const
 {
     owner_reply reply;
     if (m_stopped || !m_shard.m_loaded ||
@@ -762,7 +783,10 @@
         return reply;
     }
     const std::optional<submission_state> state = state_of(m_shard, id);
-    if (state) {
+    if (!is_accessible(m_shard, id, organisation)) {
+        reply.m_answer = owner_answer::forbidden;
+    }
+    else if (state) {
         reply.m_answer = owner_answer::done;
         reply.m_state = *state;
     }
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -43,7 +43,8 @@
     shard_owner(shard_owner_dependencies dependencies, service_id service, revision token);
 
     /// Starts to read the log; calls are served once it is loaded.
-    void start(const std::vector<queue_contract>& queues);
+    void start(const std::vector<queue_contract>& queues,
+               const organisation_directory& organisations);
 
     /// Stops all activity at once. Callers that wait get the answer that the outcome is unknown.
     void stop();
@@ -57,6 +58,9 @@
     /// Sets the queues that the operator configured.
     void set_queues(const std::vector<queue_contract>& queues);
 
+    /// Sets the organisations that the operator configured.
+    void set_organisations(const organisation_directory& organisations);
+
     /// Sets the workers from a whole reading of the platform's list; ignored until the log is
     /// loaded.
     void set_workers(const std::vector<worker_listing>& listings);
@@ -71,14 +75,18 @@
     void remove_departed_workers();
 
     /// Accepts a submission and waits until it is durable. Answers not_owner, refused or store_away
-    /// if it was not accepted, unknown if its write has not ended in time.
-    asio::awaitable<owner_reply> submit(queue_id queue, submission_id id, submission what);
-
-    /// Cancels a submission and waits until the cancellation is durable.
-    asio::awaitable<owner_reply> cancel(submission_id id);
-
-    /// Returns the state of a submission.
-    [[nodiscard]] owner_reply state(const submission_id& id) const;
+    /// if it was not accepted, unknown if its write has not ended in time, and forbidden if the id
+    /// belongs to another organisation.
+    asio::awaitable<owner_reply> submit(queue_id queue, submission_id id, submission what,
+                                        organisation_id organisation);
+
+    /// Cancels a submission and waits until the cancellation is durable. Answers forbidden if it
+    /// belongs to another organisation.
+    asio::awaitable<owner_reply> cancel(submission_id id, organisation_id organisation);
+
+    /// Returns the state of a submission, or forbidden if it belongs to another organisation.
+    [[nodiscard]] owner_reply state(const submission_id& id,
+                                    const organisation_id& organisation) const;
 
     /// Returns the number of pending submissions of a queue.
     [[nodiscard]] owner_reply count(const queue_id& queue) const;
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -4,6 +4,7 @@
 
 inline constexpr unsigned ok = 200;
 inline constexpr unsigned bad_request = 400;
+inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned forbidden = 403;
 inline constexpr unsigned not_found = 404;
 inline constexpr unsigned method_not_allowed = 405;
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -18,7 +18,7 @@
 template <typename Archive>
 void serialize(Archive& archive, submit_request& value)
 {
-    archive(value.m_service, value.m_queue, value.m_id, value.m_submission);
+    archive(value.m_service, value.m_queue, value.m_id, value.m_submission, value.m_organisation);
 }
 
 template <typename Archive>
@@ -30,13 +30,13 @@
 template <typename Archive>
 void serialize(Archive& archive, cancel_request& value)
 {
-    archive(value.m_service, value.m_id);
+    archive(value.m_service, value.m_id, value.m_organisation);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, state_request& value)
 {
-    archive(value.m_service, value.m_id);
+    archive(value.m_service, value.m_id, value.m_organisation);
 }
 
 template <typename Archive>
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -18,7 +18,8 @@
     service_id m_service;
     queue_id m_queue;
     submission_id m_id;
-    std::string m_submission; ///< As encode_submission writes it.
+    std::string m_submission;       ///< As encode_submission writes it.
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// How an owner answered a call of a caller.
@@ -29,6 +30,7 @@
     not_owner,  ///< This host does not own the service, or cannot prove it.
     store_away, ///< Nothing can be made durable at the moment; not accepted.
     unknown,    ///< It may have been accepted.
+    forbidden,  ///< The submission belongs to another organisation.
 };
 
 /// Answer of an owner.
@@ -43,12 +45,14 @@
 struct cancel_request {
     service_id m_service;
     submission_id m_id;
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// Asks for a submission's state.
 struct state_request {
     service_id m_service;
     submission_id m_id;
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// Asks how many submissions of a queue wait.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -95,6 +95,28 @@
     state.m_ranking_stale = true;
 }
 
+void set_organisations(shard& state, const organisation_directory& organisations)
+{
+    std::set<organisation_id> kept;
+    for (const submission_record* open : state.m_open_submissions) {
+        kept.insert(open->m_organisation);
+    }
+    std::erase_if(state.m_organisations, [&](const auto& entry) {
+        return !kept.contains(entry.first) && !organisations.all().contains(entry.first);
+    });
+    for (const auto& [id, configured] : organisations.all()) {
+        state.m_organisations[id] = configured.m_terms;
+    }
+    state.m_ranking_stale = true;
+}
+
+bool is_accessible(const shard& state, const submission_id& id, const organisation_id& organisation)
+{
+    const auto found = state.m_submissions.find(id);
+    return found == state.m_submissions.end() || found->second->m_organisation.empty() ||
+           found->second->m_organisation == organisation;
+}
+
 void set_deadlines(const shard& state, submission_record& record)
 {
     const queue_contract& contract = contract_of(state, record);
@@ -110,7 +132,8 @@
 }
 
 admission_result admit(shard& state, const submission_id& id, const queue_id& queue,
-                       submission what, time_point now, wall_time wall)
+                       submission what, time_point now, wall_time wall,
+                       const organisation_id& organisation)
 {
     const auto found = state.m_submissions.find(id);
     if (found != state.m_submissions.end()) {
@@ -121,6 +144,7 @@
     auto record = std::make_unique<submission_record>();
     record->m_id = id;
     record->m_queue = queue;
+    record->m_organisation = organisation;
     record->m_definition = std::move(what);
     record->m_accepted_ms = unix_ms(wall);
     record->m_arrived = now;
@@ -158,6 +182,9 @@
     log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
         log_accepted{id, queue, record->m_accepted_ms, record->m_definition});
+    if (!organisation.empty()) {
+        state.m_pending.m_entries.emplace_back(log_submission_organisation{id, organisation});
+    }
     if (state.m_cancelled_early.erase(id) > 0) {
         // One batch holds both entries, so that no task of the submission starts.
         record->m_cancel_requested = true;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -259,6 +259,12 @@
     else if (const auto* contract = std::get_if<log_queue_contract>(&entry)) {
         state.m_logged_contracts[contract->m_contract.m_queue] = contract->m_contract;
     }
+    else if (const auto* owner = std::get_if<log_submission_organisation>(&entry)) {
+        const auto found = state.m_submissions.find(owner->m_id);
+        if (found != state.m_submissions.end()) {
+            found->second->m_organisation = owner->m_organisation;
+        }
+    }
 }
 
 /// Waits for workers of former owners for the longest lease that a worker grants: one of them has
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -10,6 +10,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "contract/organisation.h"
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
@@ -79,6 +80,7 @@
 struct submission_record {
     submission_id m_id;
     queue_id m_queue;
+    organisation_id m_organisation; ///< It belongs to; empty for one of a public route.
     submission m_definition;
     std::int64_t m_accepted_ms = 0; ///< Unix time.
     time_point m_arrived{};
@@ -257,6 +259,9 @@
     std::map<queue_id, queue_contract> m_queues; ///< From the configuration.
     /// From the log; they apply to submissions whose queue the configuration no longer has.
     std::map<queue_id, queue_contract> m_logged_contracts;
+    /// From the configuration; empty if it has no organisations. One that the configuration no
+    /// longer has keeps its last terms while it has open submissions.
+    std::map<organisation_id, organisation_terms> m_organisations;
 
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
@@ -320,6 +325,9 @@
 /// Adds or updates the queues that belong to the shard's service; ignores all others.
 void set_queues(shard& state, const std::vector<queue_contract>& queues);
 
+/// Sets the terms of the organisations that the configuration has.
+void set_organisations(shard& state, const organisation_directory& organisations);
+
 /// Applies a whole reading of the platform's worker list; ignores workers of other services.
 void update_workers(shard& state, const std::vector<worker_listing>& listings, time_point now);
 
@@ -336,7 +344,13 @@
 /// Accepts or refuses a submission. An accepted one becomes durable with the pending batch; a
 /// refusal states after how many seconds to retry.
 admission_result admit(shard& state, const submission_id& id, const queue_id& queue,
-                       submission what, time_point now, wall_time wall);
+                       submission what, time_point now, wall_time wall,
+                       const organisation_id& organisation = {});
+
+/// True if callers of an organisation may ask for and cancel a submission: it is unknown, belongs
+/// to nobody or to that organisation.
+bool is_accessible(const shard& state, const submission_id& id,
+                   const organisation_id& organisation);
 
 /// Removes an accepted submission whose log entry was certainly not written. Does nothing if the
 /// entry is stored or the submission is unknown.
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -149,6 +149,12 @@
     archive(value.m_worker, value.m_start_ms, value.m_settled);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, log_submission_organisation& value)
+{
+    archive(value.m_id, value.m_organisation);
+}
+
 std::string encode_log(const std::vector<log_entry>& entries)
 {
     return encode_value(entries);
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -82,10 +82,18 @@
     bool m_settled = false;
 };
 
+/// Log entry: the organisation that a submission belongs to. Follows the entry of its acceptance in
+/// the same record; submissions of public routes have none.
+struct log_submission_organisation {
+    submission_id m_id;
+    organisation_id m_organisation;
+};
+
 /// One entry of a shard's log. The encoding stores the index of the alternative: append new ones.
-using log_entry = std::variant<log_accepted, log_cancelled, log_task_ended, log_closed, log_purged,
-                               log_worker_used, log_worker_gone, log_ownership_released,
-                               log_ownership_taken, log_queue_contract, log_worker_incarnation>;
+using log_entry =
+    std::variant<log_accepted, log_cancelled, log_task_ended, log_closed, log_purged,
+                 log_worker_used, log_worker_gone, log_ownership_released, log_ownership_taken,
+                 log_queue_contract, log_worker_incarnation, log_submission_organisation>;
 
 /// Encodes the entries that are written to the store in one record.
 std::string encode_log(const std::vector<log_entry>& entries);
