--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -41,7 +41,7 @@
         queue_contract contract;
         contract.m_queue = queue;
         contract.m_service = service;
-        m_owner->start({contract});
+        m_owner->start({contract}, {});
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
     }
 
@@ -53,7 +53,9 @@
             [this, id, &answer]() -> asio::awaitable<void> {
                 submission work;
                 work.m_steps.emplace_back();
-                answer = (co_await m_owner->submit(queue, submission_id(id), work)).m_answer;
+                answer =
+                    (co_await m_owner->submit(queue, submission_id(id), work, organisation_id()))
+                        .m_answer;
             },
             asio::detached);
     }
@@ -64,7 +66,7 @@
         asio::co_spawn(
             m_context,
             [this, id, &answer]() -> asio::awaitable<void> {
-                answer = (co_await m_owner->cancel(submission_id(id))).m_answer;
+                answer = (co_await m_owner->cancel(submission_id(id), organisation_id())).m_answer;
             },
             asio::detached);
     }
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -125,7 +125,8 @@
 
 TEST_CASE("host frames round-trip and corrupt frames are decoded safely", "[peers]")
 {
-    submit_request submit{service_id("s"), queue_id("q"), submission_id("5c"), "bytes"};
+    submit_request submit{service_id("s"), queue_id("q"), submission_id("5c"), "bytes",
+                          organisation_id("a")};
     const std::string bytes = encode_frame(9, submit);
     const auto frame = decode_frame(std::string_view(bytes).substr(4));
     REQUIRE(frame);
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -207,7 +207,7 @@
         contract.m_service = service;
         contract.m_stretch_factor = 10;
         contract.m_target = seconds(10);
-        m_owner->start({contract});
+        m_owner->start({contract}, {});
         run_until(m_context, [this] { return m_owner->state().m_loaded; });
         m_owner->set_workers(listings);
     }
@@ -226,7 +226,8 @@
             m_context,
             [this, work]() -> asio::awaitable<void> {
                 submission copy = work;
-                co_await m_owner->submit(queue, submission_name, std::move(copy));
+                co_await m_owner->submit(queue, submission_name, std::move(copy),
+                                         organisation_id());
             },
             asio::detached);
     }
--- a/tests/dispatch/silent_connections_test.cpp
+++ b/tests/dispatch/silent_connections_test.cpp
@@ -43,7 +43,7 @@
         queue_contract contract;
         contract.m_queue = queue;
         contract.m_service = service;
-        m_owner->start({contract});
+        m_owner->start({contract}, {});
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
         m_owner->set_workers({m_worker.listing(service)});
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_takeover_stored; }));
@@ -62,7 +62,7 @@
                 step.m_demand = {1000, 1, 0};
                 step.m_long_running = true;
                 work.m_steps.push_back(step);
-                co_await m_owner->submit(queue, id, std::move(work));
+                co_await m_owner->submit(queue, id, std::move(work), organisation_id());
             },
             asio::detached);
         REQUIRE(run_until(m_context, [&] { return m_worker.run_count(id) == task_count; }));
@@ -75,7 +75,7 @@
         asio::co_spawn(
             m_context,
             [&, id]() -> asio::awaitable<void> {
-                answer = (co_await m_owner->cancel(id)).m_answer;
+                answer = (co_await m_owner->cancel(id, organisation_id())).m_answer;
             },
             asio::detached);
         REQUIRE(run_until(m_context, [&] { return answer.has_value(); }));
