Divide the caps of organisations between the shards that run their tasks

Change: the owner of the machine control shard allocates caps to shards' owners on request between hosts; owners start only within what they hold. Nothing is stored and no call to the store is made; without caps nothing is sent.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include "platform/operator_records.h"
 #include "platform/store_calls.h"
 #include "platform/worker_calls.h"
+#include "schedule/quota_holder.h"
 
 namespace guavabay {
 
@@ -126,6 +127,14 @@
           context, m_store, m_self, m_settings.m_min_store_lease,
           {[this](const service_id& shard, revision token) { on_shard_gained(shard, token); },
            [this](const service_id& shard) { on_shard_lost(shard); }}),
+      m_quota_exchange(context, m_peer_link, m_registry, m_settings.m_bounds,
+                       [this] {
+                           std::vector<std::shared_ptr<shard_owner>> owners;
+                           for (const auto& [shard, owner] : m_owners) {
+                               owners.push_back(owner);
+                           }
+                           return owners;
+                       }),
       m_worker_directory(context, m_store,
                          [this](const worker_list_changes& changes) {
                              for (const auto& [shard, owner] : m_owners) {
@@ -163,6 +172,7 @@
     }
     m_operator_records.start();
     m_registry.start();
+    m_quota_exchange.start();
     m_worker_directory.start();
     spawn_loop(m_context, "the supply of workers", [this] { return supply_workers(); });
     spawn_loop(m_context, "the greeting of peers", [this] { return send_greetings(); });
@@ -192,6 +202,17 @@
     return contracts;
 }
 
+std::set<service_id> dispatcher::configured_services() const
+{
+    std::set<service_id> services;
+    if (m_config) {
+        for (const pool_config& pool : m_config->m_pools) {
+            services.insert(pool.m_service);
+        }
+    }
+    return services;
+}
+
 bool dispatcher::is_store_unreachable_for_all() const
 {
     return !m_store.is_available() &&
@@ -215,6 +236,7 @@
         };
         m_machine_controller = std::make_shared<machine_controller>(std::move(dependencies), token);
         m_machine_controller->start();
+        m_quota_exchange.begin_allocation(token);
         return;
     }
     shard_owner_dependencies dependencies;
@@ -229,13 +251,15 @@
     dependencies.m_store_unreachable_for_all = [this] { return is_store_unreachable_for_all(); };
     auto owner = std::make_shared<shard_owner>(std::move(dependencies), shard, token);
     m_owners[shard] = owner;
-    owner->start(queue_contracts(),
-                 m_config ? m_config->m_organisations : organisation_directory());
+    owner->start(queue_contracts(), m_config ? m_config->m_organisations : organisation_directory(),
+                 static_cast<std::uint32_t>(configured_services().size()));
+    m_quota_exchange.wake();
 }
 
 void dispatcher::on_shard_lost(const service_id& shard)
 {
     if (shard == machine_control_shard()) {
+        m_quota_exchange.end_allocation();
         if (m_machine_controller) {
             m_machine_controller->stop();
             m_machine_controller.reset();
@@ -269,14 +293,15 @@
     }
     m_config = std::move(*config);
     m_caller_server.set_limits(m_config->m_limits);
-    std::set<service_id> shards{machine_control_shard()};
-    for (const pool_config& pool : m_config->m_pools) {
-        shards.insert(pool.m_service);
-    }
+    const std::set<service_id> services = configured_services();
+    std::set<service_id> shards = services;
+    shards.insert(machine_control_shard());
     m_registry.set_shards(std::move(shards));
+    m_quota_exchange.set_caps(m_config->m_organisations, services);
     for (const auto& [shard, owner] : m_owners) {
         owner->set_queues(queue_contracts());
-        owner->set_organisations(m_config->m_organisations);
+        owner->set_organisations(m_config->m_organisations,
+                                 static_cast<std::uint32_t>(services.size()));
     }
     log_info("config: applied version=" + std::to_string(m_config->m_version) +
              " revision=" + std::to_string(item.m_revision.get()) +
@@ -661,6 +686,7 @@
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
+        text += format_quota_metrics(state);
         text += format_cancellation_metrics(state, now);
     }
     return text;
@@ -799,6 +825,9 @@
     if (std::holds_alternative<store_status_request>(message)) {
         co_return host_message(store_status_reply{m_store.is_available()});
     }
+    if (const auto* request = std::get_if<quota_request>(&message)) {
+        co_return host_message(m_quota_exchange.answer(*request));
+    }
     if (const auto* request = std::get_if<cordon_request>(&message)) {
         cordon_reply reply;
         const auto found = m_owners.find(request->m_service);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/host_settings.h"
 #include "dispatch/machine_controller.h"
 #include "dispatch/peer_table.h"
+#include "dispatch/quota_exchange.h"
 #include "dispatch/registry.h"
 #include "dispatch/request_notes.h"
 #include "dispatch/shard_owner.h"
@@ -90,6 +91,7 @@
     void on_shard_gained(const service_id& shard, revision token);
     void on_shard_lost(const service_id& shard);
     [[nodiscard]] std::vector<queue_contract> queue_contracts() const;
+    [[nodiscard]] std::set<service_id> configured_services() const;
     /// True if the store serves neither this host nor, by their latest greetings, any peer.
     [[nodiscard]] bool is_store_unreachable_for_all() const;
 
@@ -104,6 +106,7 @@
     config_fetch m_config_fetch;
     prefix_watch m_operator_records; ///< Configuration and upkeep waves.
     registry m_registry;
+    quota_exchange m_quota_exchange;
     worker_directory m_worker_directory;
     caller_server m_caller_server;
     caller_server m_readiness_server;
--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -109,6 +109,8 @@
         number_setting("pace-ms", 100, 1, 60000, "ms", "Time until a changed pace takes effect."),
         text_setting("remote-factor", "1.5",
                      "Slow-down factor of a task away from its data, 1 to 100."),
+        text_setting("quota-overage", "0",
+                     "Tolerated share above the cap of an organisation, 0 to 10."),
         text_setting("upkeep-seconds", "2", "Duration of the upkeep of a machine, 0 to 3600 s."),
         text_setting("move-seconds", "1.5", "Duration of the move of a machine, 0 to 3600 s."),
         text_setting("machine-orders-per-second", "16",
@@ -135,7 +137,8 @@
 {
     const auto grace = parse_real(values, "grace-seconds", 1, 600);
     const auto remote = grace ? parse_real(values, "remote-factor", 1, 100) : grace;
-    const auto upkeep = remote ? parse_real(values, "upkeep-seconds", 0, 3600) : remote;
+    const auto overage = remote ? parse_real(values, "quota-overage", 0, 10) : remote;
+    const auto upkeep = overage ? parse_real(values, "upkeep-seconds", 0, 3600) : overage;
     const auto move = upkeep ? parse_real(values, "move-seconds", 0, 3600) : upkeep;
     const auto rate = move ? parse_real(values, "machine-orders-per-second", 0.1, 10000) : move;
     const auto share = rate ? parse_real(values, "processor-share", 0.001, 1024) : rate;
@@ -176,6 +179,7 @@
     bounds.m_max_tail_violation = milliseconds(values.number("impact-ms"));
     bounds.m_pace_settle_time = milliseconds(values.number("pace-ms"));
     bounds.m_remote_factor = *remote;
+    bounds.m_quota_overage = *overage;
     return settings;
 }
 
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -9,6 +9,7 @@
 #include "net/spawn.h"
 #include "platform/advice_calls.h"
 #include "platform/store_calls.h"
+#include "schedule/quota_holder.h"
 
 namespace guavabay {
 
@@ -132,10 +133,10 @@
 }
 
 void shard_owner::start(const std::vector<queue_contract>& queues,
-                        const organisation_directory& organisations)
+                        const organisation_directory& organisations, std::uint32_t shard_count)
 {
     guavabay::set_queues(m_shard, queues);
-    guavabay::set_organisations(m_shard, organisations);
+    guavabay::set_organisations(m_shard, organisations, shard_count);
     spawn(*m_dependencies.m_context, "the owner of a shard",
           [self = shared_from_this()]() { return self->run(); });
 }
@@ -179,9 +180,27 @@
     guavabay::set_queues(m_shard, queues);
 }
 
-void shard_owner::set_organisations(const organisation_directory& organisations)
+void shard_owner::set_organisations(const organisation_directory& organisations,
+                                    std::uint32_t shard_count)
 {
-    guavabay::set_organisations(m_shard, organisations);
+    guavabay::set_organisations(m_shard, organisations, shard_count);
+}
+
+std::optional<quota_request> shard_owner::next_quota_request()
+{
+    if (m_stopped || m_releasing) {
+        return std::nullopt;
+    }
+    return guavabay::next_quota_request(m_shard, read_boot_clock());
+}
+
+void shard_owner::apply_quota_reply(const quota_reply& reply)
+{
+    if (m_stopped) {
+        return;
+    }
+    guavabay::apply_quota_reply(m_shard, reply, read_boot_clock());
+    schedule_plan();
 }
 
 void shard_owner::set_workers(const std::vector<worker_listing>& listings)
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -44,7 +44,7 @@
 
     /// Starts to read the log; calls are served once it is loaded.
     void start(const std::vector<queue_contract>& queues,
-               const organisation_directory& organisations);
+               const organisation_directory& organisations, std::uint32_t shard_count);
 
     /// Stops all activity at once. Callers that wait get the answer that the outcome is unknown.
     void stop();
@@ -58,8 +58,15 @@
     /// Sets the queues that the operator configured.
     void set_queues(const std::vector<queue_contract>& queues);
 
-    /// Sets the organisations that the operator configured.
-    void set_organisations(const organisation_directory& organisations);
+    /// Sets the organisations that the operator configured, and the number of shards that share
+    /// their caps.
+    void set_organisations(const organisation_directory& organisations, std::uint32_t shard_count);
+
+    /// The request for quota to send now; empty if none is due.
+    std::optional<quota_request> next_quota_request();
+
+    /// Applies an answer to the last request for quota.
+    void apply_quota_reply(const quota_reply& reply);
 
     /// Sets the workers from a whole reading of the platform's list; ignored until the log is
     /// loaded.
--- a/src/fleet/resources.cpp
+++ b/src/fleet/resources.cpp
@@ -1,5 +1,7 @@
 #include "fleet/resources.h"
 
+#include <algorithm>
+
 namespace guavabay {
 
 resources operator+(const resources& left, const resources& right)
@@ -14,6 +16,20 @@
             left.m_accelerators - right.m_accelerators};
 }
 
+resources component_max(const resources& left, const resources& right)
+{
+    return {std::max(left.m_cpu_millis, right.m_cpu_millis),
+            std::max(left.m_memory_mb, right.m_memory_mb),
+            std::max(left.m_accelerators, right.m_accelerators)};
+}
+
+resources component_min(const resources& left, const resources& right)
+{
+    return {std::min(left.m_cpu_millis, right.m_cpu_millis),
+            std::min(left.m_memory_mb, right.m_memory_mb),
+            std::min(left.m_accelerators, right.m_accelerators)};
+}
+
 bool fits(const resources& wanted, const resources& offered)
 {
     return wanted.m_cpu_millis <= offered.m_cpu_millis &&
--- a/src/fleet/resources.h
+++ b/src/fleet/resources.h
@@ -20,6 +20,10 @@
 /// Subtracts an amount, resource by resource. The result can be negative.
 resources operator-(const resources& left, const resources& right);
 
+/// The larger and the smaller amount of each resource.
+resources component_max(const resources& left, const resources& right);
+resources component_min(const resources& left, const resources& right);
+
 /// Returns whether `wanted` exceeds `offered` in no resource.
 bool fits(const resources& wanted, const resources& offered);
 
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -156,13 +156,43 @@
     archive(value.m_store_answers);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, resources& value)
+{
+    archive(value.m_cpu_millis, value.m_memory_mb, value.m_accelerators);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quota_need& value)
+{
+    archive(value.m_organisation, value.m_used, value.m_held, value.m_wanted, value.m_largest);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quota_request& value)
+{
+    archive(value.m_service, value.m_token, value.m_sequence, value.m_hidden, value.m_needs);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quota_grant& value)
+{
+    archive(value.m_organisation, value.m_granted);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, quota_reply& value)
+{
+    archive(value.m_token, value.m_sequence, value.m_grants);
+}
+
 namespace {
 
 /// Checks that the enumerated values of a message are ones of their enumerations.
 struct value_check {
     bool operator()(const owner_reply& reply) const
     {
-        return reply.m_answer <= owner_answer::unknown &&
+        return reply.m_answer <= owner_answer::forbidden &&
                reply.m_state <= submission_state::canceled;
     }
 
@@ -217,7 +247,9 @@
         "worker_hold_request",
         "worker_hold_reply",
         "store_status_request",
-        "store_status_reply"};
+        "store_status_reply",
+        "quota_request",
+        "quota_reply"};
     return names.at(kind);
 }
 
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "quota/quota_message.h"
 #include "submission/submission.h"
 #include "worker/worker.h"
 #include "worker/worker_order.h"
@@ -150,7 +151,7 @@
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
                  relay_request, greeting, owner_reply, cordon_reply, relay_reply,
                  worker_order_request, worker_order_reply, worker_hold_request, worker_hold_reply,
-                 store_status_request, store_status_reply>;
+                 store_status_request, store_status_reply, quota_request, quota_reply>;
 
 /// Name of a message's kind, given as the index of the alternative, for metrics.
 std::string_view message_name(std::size_t kind);
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -95,12 +95,19 @@
     state.m_ranking_stale = true;
 }
 
-void set_organisations(shard& state, const organisation_directory& organisations)
+void set_organisations(shard& state, const organisation_directory& organisations,
+                       std::uint32_t shard_count)
 {
+    state.m_shard_count = shard_count;
     std::set<organisation_id> kept;
     for (const submission_record* open : state.m_open_submissions) {
         kept.insert(open->m_organisation);
     }
+    for (const auto& [id, quota] : state.m_quotas) {
+        if (quota.m_runs > 0) {
+            kept.insert(id);
+        }
+    }
     std::erase_if(state.m_organisations, [&](const auto& entry) {
         return !kept.contains(entry.first) && !organisations.all().contains(entry.first);
     });
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/quota_holder.h"
 #include "schedule/worker_choice.h"
 
 namespace guavabay {
@@ -58,8 +59,9 @@
     slot.m_tail_latency_target_ms = request.m_step->m_tail_latency_target_ms;
     slot.m_uses_idle_cores = request.m_step->m_uses_idle_cores;
     slot.m_declared_cpu = request.m_step->m_demand.m_cpu_millis;
-    worker.m_reserved = worker.m_reserved + slot.m_reserved;
-    worker.m_runs.emplace(std::pair(request.m_name, run), slot);
+    slot.m_organisation = request.m_record->m_organisation;
+    slot.m_counted = request.m_step->m_demand;
+    add_run(state, worker, std::move(slot));
     request.m_record->m_last_start = now;
     if (request.m_record->m_starving) {
         request.m_record->m_starving = false;
@@ -122,6 +124,14 @@
         })) {
         return;
     }
+    resources total;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        total = total + step.m_demand;
+    }
+    if (!has_quota(state, record.m_organisation, total)) {
+        note_blocked_by_quota(state, record.m_organisation, total, 1);
+        return;
+    }
     std::vector<std::string> candidate_racks{""};
     if (step.m_same_rack) {
         candidate_racks.clear();
@@ -195,6 +205,7 @@
 void start_ready_tasks(shard& state, time_point now)
 {
     candidate_workers candidates = find_candidate_workers(state, now);
+    clear_blocked_by_quota(state);
     submission_record* put_back = nullptr;
     for (submission_record* record : state.m_ranked) {
         const bool is_starving = record->m_starving;
@@ -220,6 +231,12 @@
                     if (!is_startable(state, *record, task, now)) {
                         continue;
                     }
+                    const resources& demand = record->m_definition.m_steps[step_index].m_demand;
+                    if (!has_quota(state, record->m_organisation, demand)) {
+                        note_blocked_by_quota(state, record->m_organisation, demand,
+                                              occurrence.m_ready_tasks[step_index]);
+                        break;
+                    }
                     placement_request request = make_placement_request(
                         state, *record, {record->m_id, occurrence_index, step_index, i}, task);
                     request.m_avoids_upkeep = request.m_step->m_long_running;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/quota_holder.h"
 #include "schedule/shard_steps.h"
 
 namespace guavabay {
@@ -112,6 +113,8 @@
     if (found.m_task != nullptr) {
         const submission_step& step = found.m_record->m_definition.m_steps[reported.m_task.m_step];
         slot.m_reserved = step.m_demand;
+        slot.m_organisation = found.m_record->m_organisation;
+        slot.m_counted = step.m_demand;
         slot.m_long_running = step.m_long_running;
         slot.m_uses_idle_cores = step.m_uses_idle_cores;
         slot.m_declared_cpu = step.m_demand.m_cpu_millis;
@@ -126,10 +129,7 @@
         is_adoptable = found.m_task->m_phase == task_phase::ready ||
                        found.m_task->m_phase == task_phase::blocked;
     }
-    worker.m_reserved = worker.m_reserved + slot.m_reserved;
-    worker.m_unknown_demands += slot.m_unknown_demand ? 1 : 0;
-    run_slot& added =
-        worker.m_runs.insert_or_assign({reported.m_task, reported.m_run}, slot).first->second;
+    run_slot& added = add_run(state, worker, std::move(slot));
     if (found.m_task == nullptr) {
         note_stray_run(state, worker, added, false, now);
     }
@@ -243,7 +243,7 @@
                                     " how=" + std::to_string(static_cast<int>(end.m_outcome)));
     }
     if (slot != nullptr) {
-        erase_run(worker, worker.m_runs.find({end.m_task, end.m_run}));
+        erase_run(state, worker, worker.m_runs.find({end.m_task, end.m_run}));
     }
     if (found.m_task == nullptr) {
         return;
@@ -324,12 +324,27 @@
     if (is_current(worker, found, slot.m_run)) {
         make_ready(state, found, not_before);
     }
-    erase_run(worker, worker.m_runs.find({slot.m_task, slot.m_run}));
+    erase_run(state, worker, worker.m_runs.find({slot.m_task, slot.m_run}));
+}
+
+run_slot& add_run(shard& state, worker_record& worker, run_slot slot)
+{
+    const auto key = std::pair(slot.m_task, slot.m_run);
+    const auto present = worker.m_runs.find(key);
+    if (present != worker.m_runs.end()) {
+        erase_run(state, worker, present);
+    }
+    worker.m_reserved = worker.m_reserved + slot.m_reserved;
+    worker.m_unknown_demands += slot.m_unknown_demand ? 1 : 0;
+    add_usage(state, slot);
+    return worker.m_runs.emplace(key, std::move(slot)).first->second;
 }
 
 std::map<std::pair<task_name, run_number>, run_slot>::iterator
-erase_run(worker_record& worker, std::map<std::pair<task_name, run_number>, run_slot>::iterator run)
+erase_run(shard& state, worker_record& worker,
+          std::map<std::pair<task_name, run_number>, run_slot>::iterator run)
 {
+    remove_usage(state, run->second);
     worker.m_reserved = worker.m_reserved - run->second.m_reserved;
     worker.m_unknown_demands -= run->second.m_unknown_demand ? 1 : 0;
     return worker.m_runs.erase(run);
@@ -607,9 +622,9 @@
         worker_record& worker = *found->second;
         note_other_incarnation(state, worker, now);
         end_incarnation(state, worker, now, false);
-        worker.m_runs.clear();
-        worker.m_reserved = {};
-        worker.m_unknown_demands = 0;
+        while (!worker.m_runs.empty()) {
+            erase_run(state, worker, worker.m_runs.begin());
+        }
         worker.m_answered = false;
         if (worker.m_listed) {
             worker.m_listed = false;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -318,7 +318,7 @@
             ++it;
             continue;
         }
-        it = erase_run(worker, it);
+        it = erase_run(state, worker, it);
     }
     state.m_awaited_workers.erase(worker.m_info.m_id);
     worker.m_lease_ended = true;
@@ -342,7 +342,7 @@
             found.m_task->m_run == slot.m_run) {
             make_ready(state, found, now);
         }
-        it = erase_run(worker, it);
+        it = erase_run(state, worker, it);
     }
     state.m_log_lines.push_back(
         "worker started a new incarnation: worker=" + worker.m_info.m_id.str() +
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -38,6 +38,7 @@
     milliseconds m_max_tail_violation{4000};    ///< How long a tail latency may exceed its target.
     milliseconds m_pace_settle_time{100};       ///< Time until a changed pace takes effect.
     double m_remote_factor = 1.5; ///< Slow-down of a run away from its data or across racks.
+    double m_quota_overage = 0;   ///< Tolerated share above the cap of an organisation.
 };
 
 /// Progress of a task: waiting for earlier steps, startable, on a worker, or finished.
@@ -114,6 +115,8 @@
     task_name m_task;
     run_number m_run;
     resources m_reserved;
+    organisation_id m_organisation; ///< Empty if nobody's cap counts it.
+    resources m_counted;            ///< What counts against the organisation's cap.
     run_phase m_phase = run_phase::ordered;
     bool m_detached = false;       ///< No task waits for its end.
     bool m_unknown_demand = false; ///< Its submission is over, so its demand cannot be looked up.
@@ -232,6 +235,17 @@
     time_point m_at{};           ///< When it was determined.
 };
 
+/// A shard's part of an organisation's cap, and what it uses of it.
+struct organisation_quota {
+    resources m_used;            ///< By all runs on workers, also by those that are being stopped.
+    std::uint32_t m_runs = 0;    ///< Number of these runs.
+    resources m_held;            ///< Granted by the allocator.
+    resources m_blocked;         ///< Of ready tasks that waited for quota in the last plan.
+    resources m_largest_blocked; ///< Of the largest of these tasks.
+    resources m_peak_need;       ///< Largest use and wait since m_peak_since.
+    time_point m_peak_since{};
+};
+
 /// Outcome of the admission check of a submission.
 enum class admission : std::uint8_t { accepted, already_stored, refused };
 
@@ -282,6 +296,12 @@
     bool m_takeover_stored = false; ///< The log durably names this owner; starts are allowed.
     std::set<worker_id> m_awaited_workers; ///< Workers that may still run a former owner's tasks.
     time_point m_awaited_until{}; ///< When the leases of these workers have ended for certain.
+    std::map<organisation_id, organisation_quota> m_quotas;
+    std::uint32_t m_shard_count = 1;     ///< Shards that share the caps of organisations.
+    std::uint64_t m_quota_sequence = 0;  ///< Of the last request for quota.
+    fencing_token m_quota_allocator;     ///< Of the newest allocator that has answered.
+    time_point m_quota_asked_at{};       ///< When the last request for quota was made.
+    bool m_quota_reported_needs = false; ///< The last request named an organisation.
     arrival_rate m_arrivals;
     std::map<queue_id, duration_model> m_durations;
     std::map<std::string, image_pair_model> m_image_pairs;
@@ -325,8 +345,10 @@
 /// Adds or updates the queues that belong to the shard's service; ignores all others.
 void set_queues(shard& state, const std::vector<queue_contract>& queues);
 
-/// Sets the terms of the organisations that the configuration has.
-void set_organisations(shard& state, const organisation_directory& organisations);
+/// Sets the terms of the organisations that the configuration has, and the number of shards that
+/// share their caps.
+void set_organisations(shard& state, const organisation_directory& organisations,
+                       std::uint32_t shard_count = 1);
 
 /// Applies a whole reading of the platform's worker list; ignores workers of other services.
 void update_workers(shard& state, const std::vector<worker_listing>& listings, time_point now);
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -63,9 +63,13 @@
 /// becomes ready again.
 void free_slot(shard& state, worker_record& worker, const run_slot& slot, time_point not_before);
 
+/// Adds a run to a worker, reserves its capacity and counts it against its organisation's cap;
+/// replaces a run of the same task and number.
+run_slot& add_run(shard& state, worker_record& worker, run_slot slot);
+
 /// Removes a run from its worker and releases its capacity; returns the next run.
 std::map<std::pair<task_name, run_number>, run_slot>::iterator
-erase_run(worker_record& worker,
+erase_run(shard& state, worker_record& worker,
           std::map<std::pair<task_name, run_number>, run_slot>::iterator run);
 
 /// Marks a run for stop orders. A detached run's task does not wait for the run's end.
--- a/tests/dispatch/owner_faults_test.cpp
+++ b/tests/dispatch/owner_faults_test.cpp
@@ -41,7 +41,7 @@
         queue_contract contract;
         contract.m_queue = queue;
         contract.m_service = service;
-        m_owner->start({contract}, {});
+        m_owner->start({contract}, {}, 1);
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
     }
 
--- a/tests/dispatch/shard_release_test.cpp
+++ b/tests/dispatch/shard_release_test.cpp
@@ -207,7 +207,7 @@
         contract.m_service = service;
         contract.m_stretch_factor = 10;
         contract.m_target = seconds(10);
-        m_owner->start({contract}, {});
+        m_owner->start({contract}, {}, 1);
         run_until(m_context, [this] { return m_owner->state().m_loaded; });
         m_owner->set_workers(listings);
     }
--- a/tests/dispatch/silent_connections_test.cpp
+++ b/tests/dispatch/silent_connections_test.cpp
@@ -43,7 +43,7 @@
         queue_contract contract;
         contract.m_queue = queue;
         contract.m_service = service;
-        m_owner->start({contract}, {});
+        m_owner->start({contract}, {}, 1);
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_loaded; }));
         m_owner->set_workers({m_worker.listing(service)});
         REQUIRE(run_until(m_context, [this] { return m_owner->state().m_takeover_stored; }));
