--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -10,6 +10,7 @@
 #include "platform/operator_records.h"
 #include "platform/store_calls.h"
 #include "platform/worker_calls.h"
+#include "schedule/quota_holder.h"
 
 namespace guavabay {
 
@@ -126,6 +127,14 @@
           context, m_store, m_self, m_settings.m_min_store_lease,
           {[this](const service_id& shard, revision token) { on_shard_gained(shard, token); },
            [this](const service_id& shard) { on_shard_lost(shard); }}),
+      m_quota_exchange(context, m_peer_link, m_registry, m_settings.m_bounds,
+                       [this] {
+                           std::vector<std::shared_ptr<shard_owner>> owners;
+                           for (const auto& [shard, owner] : m_owners) {
+                               owners.push_back(owner);
+                           }
+                           return owners;
+                       }),
       m_worker_directory(context, m_store,
                          [this](const worker_list_changes& changes) {
                              for (const auto& [shard, owner] : m_owners) {
@@ -163,6 +172,7 @@
     }
     m_operator_records.start();
     m_registry.start();
+    m_quota_exchange.start();
     m_worker_directory.start();
     spawn_loop(m_context, "the supply of workers", [this] { return supply_workers(); });
     spawn_loop(m_context, "the greeting of peers", [this] { return send_greetings(); });
@@ -192,6 +202,17 @@
     return contracts;
 }
 
+std::set<service_id> dispatcher::configured_services() const
+{
+    std::set<service_id> services;
+    if (m_config) {
+        for (const pool_config& pool : m_config->m_pools) {
+            services.insert(pool.m_service);
+        }
+    }
+    return services;
+}
+
 bool dispatcher::is_store_unreachable_for_all() const
 {
     return !m_store.is_available() &&
@@ -215,6 +236,7 @@
         };
         m_machine_controller = std::make_shared<machine_controller>(std::move(dependencies), token);
         m_machine_controller->start();
+        m_quota_exchange.begin_allocation(token);
         return;
     }
     shard_owner_dependencies dependencies;
@@ -229,12 +251,15 @@
     dependencies.m_store_unreachable_for_all = [this] { return is_store_unreachable_for_all(); };
     auto owner = std::make_shared<shard_owner>(std::move(dependencies), shard, token);
     m_owners[shard] = owner;
-    owner->start(queue_contracts());
+    owner->start(queue_contracts(), m_config ? m_config->m_organisations : organisation_directory(),
+                 static_cast<std::uint32_t>(configured_services().size()));
+    m_quota_exchange.wake();
 }
 
 void dispatcher::on_shard_lost(const service_id& shard)
 {
     if (shard == machine_control_shard()) {
+        m_quota_exchange.end_allocation();
         if (m_machine_controller) {
             m_machine_controller->stop();
             m_machine_controller.reset();
@@ -268,13 +293,15 @@
     }
     m_config = std::move(*config);
     m_caller_server.set_limits(m_config->m_limits);
-    std::set<service_id> shards{machine_control_shard()};
-    for (const pool_config& pool : m_config->m_pools) {
-        shards.insert(pool.m_service);
-    }
+    const std::set<service_id> services = configured_services();
+    std::set<service_id> shards = services;
+    shards.insert(machine_control_shard());
     m_registry.set_shards(std::move(shards));
+    m_quota_exchange.set_caps(m_config->m_organisations, services);
     for (const auto& [shard, owner] : m_owners) {
         owner->set_queues(queue_contracts());
+        owner->set_organisations(m_config->m_organisations,
+                                 static_cast<std::uint32_t>(services.size()));
     }
     log_info("config: applied version=" + std::to_string(m_config->m_version) +
              " revision=" + std::to_string(item.m_revision.get()) +
@@ -476,13 +503,14 @@
             reply.m_answer = owner_answer::refused;
             co_return reply;
         }
-        co_return co_await owner->submit(submit->m_queue, submit->m_id, std::move(*decoded));
+        co_return co_await owner->submit(submit->m_queue, submit->m_id, std::move(*decoded),
+                                         submit->m_organisation);
     }
     if (auto* cancel = std::get_if<cancel_request>(&message)) {
-        co_return co_await owner->cancel(cancel->m_id);
+        co_return co_await owner->cancel(cancel->m_id, cancel->m_organisation);
     }
     if (auto* state = std::get_if<state_request>(&message)) {
-        co_return owner->state(state->m_id);
+        co_return owner->state(state->m_id, state->m_organisation);
     }
     if (auto* count = std::get_if<count_request>(&message)) {
         co_return owner->count(count->m_queue);
@@ -529,8 +557,9 @@
         std::optional<owner_reply> answer =
             co_await call_owner_once(service, std::move(copy), timeout - taken);
         reply = *answer;
-        const bool is_settled =
-            reply.m_answer == owner_answer::done || reply.m_answer == owner_answer::none;
+        const bool is_settled = reply.m_answer == owner_answer::done ||
+                                reply.m_answer == owner_answer::none ||
+                                reply.m_answer == owner_answer::forbidden;
         is_unknown = is_unknown || reply.m_answer == owner_answer::unknown;
         if (is_unknown && !is_settled) {
             // A later refusal says nothing about the earlier attempt.
@@ -550,6 +579,7 @@
 }
 
 asio::awaitable<caller_answer> dispatcher::handle_submit(const queue_route& route, submission_id id,
+                                                         organisation_id organisation,
                                                          caller_request request)
 {
     const std::optional<submission> decoded = platform::decode_submission(request.m_body);
@@ -557,7 +587,8 @@
         co_return make_answer(http_status::bad_request, R"({"error":")" + last_reason() + "\"}");
     }
     const service_id service = route.m_contract.m_service;
-    submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*decoded)};
+    submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*decoded),
+                          std::move(organisation)};
     host_message message(std::move(submit));
     const owner_reply reply =
         co_await call_owner(service, std::move(message), owner_timeout(request.m_timeout));
@@ -574,6 +605,8 @@
                  " answer=" + std::to_string(static_cast<int>(reply.m_answer)));
         co_return make_answer(http_status::unavailable, {},
                               std::max(min_retry_after_s, reply.m_retry_after_s));
+    case owner_answer::forbidden:
+        co_return make_answer(http_status::forbidden);
     case owner_answer::unknown:
         break;
     }
@@ -653,6 +686,7 @@
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
+        text += format_quota_metrics(state);
         text += format_cancellation_metrics(state, now);
     }
     return text;
@@ -686,6 +720,11 @@
                                     read_boot_clock()));
         co_return make_answer(http_status::not_found);
     }
+    const std::optional<organisation_id> organisation =
+        authorize(*m_config, *found, request.m_authorization);
+    if (!organisation) {
+        co_return make_answer(http_status::unauthorized);
+    }
     const queue_route route = *found;
     const std::string rest = path.substr(route.m_path.size());
     const service_id service = route.m_contract.m_service;
@@ -708,10 +747,10 @@
     }
     const submission_id id(rest);
     if (request.m_method == "POST") {
-        co_return co_await handle_submit(route, id, std::move(request));
+        co_return co_await handle_submit(route, id, *organisation, std::move(request));
     }
     if (request.m_method == "GET") {
-        host_message message(state_request{service, id});
+        host_message message(state_request{service, id, *organisation});
         const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
         if (reply.m_answer == owner_answer::done) {
@@ -723,10 +762,13 @@
                                      m_noted, read_boot_clock()));
             co_return make_answer(http_status::gone);
         }
+        if (reply.m_answer == owner_answer::forbidden) {
+            co_return make_answer(http_status::forbidden);
+        }
         co_return make_answer(http_status::unavailable, {}, min_retry_after_s);
     }
     if (request.m_method == "DELETE") {
-        host_message message(cancel_request{service, id});
+        host_message message(cancel_request{service, id, *organisation});
         const time_point started_at = read_boot_clock();
         const owner_reply reply = co_await call_owner(service, std::move(message), timeout);
         note(describe_cancellation(make_request_note(route, id, "DELETE", reply, started_at)));
@@ -736,6 +778,9 @@
         if (reply.m_answer == owner_answer::none) {
             co_return make_answer(http_status::gone);
         }
+        if (reply.m_answer == owner_answer::forbidden) {
+            co_return make_answer(http_status::forbidden);
+        }
         const bool unknown = reply.m_answer == owner_answer::unknown;
         co_return make_answer(unknown ? http_status::gateway_timeout : http_status::unavailable, {},
                               unknown ? 0 : min_retry_after_s);
@@ -780,6 +825,9 @@
     if (std::holds_alternative<store_status_request>(message)) {
         co_return host_message(store_status_reply{m_store.is_available()});
     }
+    if (const auto* request = std::get_if<quota_request>(&message)) {
+        co_return host_message(m_quota_exchange.answer(*request));
+    }
     if (const auto* request = std::get_if<cordon_request>(&message)) {
         cordon_reply reply;
         const auto found = m_owners.find(request->m_service);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "dispatch/host_settings.h"
 #include "dispatch/machine_controller.h"
 #include "dispatch/peer_table.h"
+#include "dispatch/quota_exchange.h"
 #include "dispatch/registry.h"
 #include "dispatch/request_notes.h"
 #include "dispatch/shard_owner.h"
@@ -50,6 +51,7 @@
     asio::awaitable<caller_answer> handle_metrics_request(caller_request request);
     [[nodiscard]] std::string format_metrics() const;
     asio::awaitable<caller_answer> handle_submit(const queue_route& route, submission_id id,
+                                                 organisation_id organisation,
                                                  caller_request request);
     /// Sends a message to the owner of a service, and retries for a short time while it has none.
     asio::awaitable<owner_reply> call_owner(service_id service, host_message message,
@@ -89,6 +91,7 @@
     void on_shard_gained(const service_id& shard, revision token);
     void on_shard_lost(const service_id& shard);
     [[nodiscard]] std::vector<queue_contract> queue_contracts() const;
+    [[nodiscard]] std::set<service_id> configured_services() const;
     /// True if the store serves neither this host nor, by their latest greetings, any peer.
     [[nodiscard]] bool is_store_unreachable_for_all() const;
 
@@ -103,6 +106,7 @@
     config_fetch m_config_fetch;
     prefix_watch m_operator_records; ///< Configuration and upkeep waves.
     registry m_registry;
+    quota_exchange m_quota_exchange;
     worker_directory m_worker_directory;
     caller_server m_caller_server;
     caller_server m_readiness_server;
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "quota/quota_message.h"
 #include "submission/submission.h"
 #include "worker/worker.h"
 #include "worker/worker_order.h"
@@ -18,7 +19,8 @@
     service_id m_service;
     queue_id m_queue;
     submission_id m_id;
-    std::string m_submission; ///< As encode_submission writes it.
+    std::string m_submission;       ///< As encode_submission writes it.
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// How an owner answered a call of a caller.
@@ -29,6 +31,7 @@
     not_owner,  ///< This host does not own the service, or cannot prove it.
     store_away, ///< Nothing can be made durable at the moment; not accepted.
     unknown,    ///< It may have been accepted.
+    forbidden,  ///< The submission belongs to another organisation.
 };
 
 /// Answer of an owner.
@@ -43,12 +46,14 @@
 struct cancel_request {
     service_id m_service;
     submission_id m_id;
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// Asks for a submission's state.
 struct state_request {
     service_id m_service;
     submission_id m_id;
+    organisation_id m_organisation; ///< Of the caller's key; empty on a public route.
 };
 
 /// Asks how many submissions of a queue wait.
@@ -146,7 +151,7 @@
     std::variant<submit_request, cancel_request, state_request, count_request, cordon_request,
                  relay_request, greeting, owner_reply, cordon_reply, relay_reply,
                  worker_order_request, worker_order_reply, worker_hold_request, worker_hold_reply,
-                 store_status_request, store_status_reply>;
+                 store_status_request, store_status_reply, quota_request, quota_reply>;
 
 /// Name of a message's kind, given as the index of the alternative, for metrics.
 std::string_view message_name(std::size_t kind);
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -259,6 +259,12 @@
     else if (const auto* contract = std::get_if<log_queue_contract>(&entry)) {
         state.m_logged_contracts[contract->m_contract.m_queue] = contract->m_contract;
     }
+    else if (const auto* owner = std::get_if<log_submission_organisation>(&entry)) {
+        const auto found = state.m_submissions.find(owner->m_id);
+        if (found != state.m_submissions.end()) {
+            found->second->m_organisation = owner->m_organisation;
+        }
+    }
 }
 
 /// Waits for workers of former owners for the longest lease that a worker grants: one of them has
@@ -312,7 +318,7 @@
             ++it;
             continue;
         }
-        it = erase_run(worker, it);
+        it = erase_run(state, worker, it);
     }
     state.m_awaited_workers.erase(worker.m_info.m_id);
     worker.m_lease_ended = true;
@@ -336,7 +342,7 @@
             found.m_task->m_run == slot.m_run) {
             make_ready(state, found, now);
         }
-        it = erase_run(worker, it);
+        it = erase_run(state, worker, it);
     }
     state.m_log_lines.push_back(
         "worker started a new incarnation: worker=" + worker.m_info.m_id.str() +
