--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -162,7 +162,7 @@
 struct value_check {
     bool operator()(const owner_reply& reply) const
     {
-        return reply.m_answer <= owner_answer::unknown &&
+        return reply.m_answer <= owner_answer::forbidden &&
                reply.m_state <= submission_state::canceled;
     }
 
