Never apply an older configuration within one lifetime

Cause: after op/config was removed from the store, a host forgot its revision and took an older version, with withdrawn keys, from a peer that lagged behind. Change: the dispatcher remembers the newest revision that it has seen and ignores older ones. Result: with the former code the test 'a host never goes back to an older version' fails 5 checks, with this one none.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -253,9 +253,18 @@
 {
     for (const std::string& key : keys) {
         const auto found = m_operator_records.items().find(key);
-        if (key == platform::config_key && found != m_operator_records.items().end()) {
-            apply_config(found->second);
+        if (key != platform::config_key || found == m_operator_records.items().end()) {
+            continue;
+        }
+        // After the record was removed from the store, a peer may still send an older one.
+        const std::int64_t received = found->second.m_revision.get();
+        if (received <= m_config_revision) {
+            log_info("config: older revision ignored revision=" + std::to_string(received) +
+                     " known_revision=" + std::to_string(m_config_revision));
+            continue;
         }
+        m_config_revision = received;
+        apply_config(found->second);
     }
 }
 
@@ -291,9 +300,9 @@
     own_greeting.m_address = m_self.m_peer_address;
     own_greeting.m_store_answers = m_store.is_available();
     own_greeting.m_config_revision = config_revision();
-    if (with_config && own_greeting.m_config_revision != 0) {
-        own_greeting.m_config =
-            m_operator_records.items().at(std::string(platform::config_key)).m_value;
+    const auto config = m_operator_records.items().find(std::string(platform::config_key));
+    if (with_config && config != m_operator_records.items().end()) {
+        own_greeting.m_config = config->second.m_value;
     }
     own_greeting.m_peers = select_peers_to_announce(m_peer_table, max_announced_peers,
                                                     m_greeting_round, read_boot_clock());
@@ -320,16 +329,17 @@
                  " revision=" + std::to_string(received.m_config_revision) + " bytes=" +
                  std::to_string(received.m_config.size()) + " newer=" + (is_newer ? "yes" : "no"));
         const revision newer(received.m_config_revision);
-        m_operator_records.apply_if_newer({std::string(platform::config_key), received.m_config,
-                                           newer, newer, lease_id(), false});
+        if (is_newer) {
+            m_operator_records.apply_if_newer({std::string(platform::config_key), received.m_config,
+                                               newer, newer, lease_id(), false});
+        }
     }
     fetch_config_if_due();
 }
 
 std::int64_t dispatcher::config_revision() const
 {
-    const auto found = m_operator_records.items().find(std::string(platform::config_key));
-    return found == m_operator_records.items().end() ? 0 : found->second.m_revision.get();
+    return m_config_revision;
 }
 
 void dispatcher::fetch_config_if_due()
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -111,6 +111,7 @@
     host_metrics m_metrics;
     remembered_keys m_noted; ///< Requests that were logged; the same is not logged again.
     std::optional<operator_config> m_config; ///< Empty until the first valid one was read.
+    std::int64_t m_config_revision = 0;      ///< Of the newest one that was read, valid or not.
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners; ///< Shards that this host owns.
     std::shared_ptr<machine_controller>
         m_machine_controller; ///< Null unless this host owns its shard.
