Limit early cancellations to the organisation that sent them

Cause: a cancellation of an id that is not known yet was applied to the submission that came later, whoever sent it, so that an organisation could cancel the work of another one. Change: the shard keeps the organisations of an early cancellation, also in the log: the entry of the organisation goes before the entry of the cancellation. A stored cancellation closes only a submission that was itself cancelled. Not covered: an early cancellation is dropped when another organisation submits the id and that submission is withdrawn because of the store.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -749,7 +749,7 @@
     }
     note_cancellation(m_shard, id, read_boot_clock());
     flush_log_lines();
-    const bool known = guavabay::cancel(m_shard, id);
+    const bool known = guavabay::cancel(m_shard, id, organisation);
     const auto found = m_shard.m_submissions.find(id);
     if (known && found->second->m_final_decided &&
         found->second->m_visible == found->second->m_final) {
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -185,10 +185,14 @@
     if (!organisation.empty()) {
         state.m_pending.m_entries.emplace_back(log_submission_organisation{id, organisation});
     }
-    if (state.m_cancelled_early.erase(id) > 0) {
-        // One batch holds both entries, so that no task of the submission starts.
-        record->m_cancel_requested = true;
-        state.m_pending.m_entries.emplace_back(log_cancelled{id});
+    const auto early = state.m_cancelled_early.find(id);
+    if (early != state.m_cancelled_early.end()) {
+        if (early->second.m_organisations.contains(organisation)) {
+            // One batch holds both entries, so that no task of the submission starts.
+            record->m_cancel_requested = true;
+            state.m_pending.m_entries.emplace_back(log_cancelled{id});
+        }
+        state.m_cancelled_early.erase(early);
     }
     state.m_open_submissions.insert(record.get());
     state.m_submissions[id] = std::move(record);
@@ -208,11 +212,14 @@
     state.m_ranking_stale = true;
 }
 
-bool cancel(shard& state, const submission_id& id)
+bool cancel(shard& state, const submission_id& id, const organisation_id& organisation)
 {
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
-        state.m_cancelled_early.try_emplace(id, 0);
+        state.m_cancelled_early[id].m_organisations.insert(organisation);
+        if (!organisation.empty()) {
+            state.m_pending.m_entries.emplace_back(log_submission_organisation{id, organisation});
+        }
         state.m_pending.m_entries.emplace_back(log_cancelled{id});
         return false;
     }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -344,7 +344,8 @@
         }
     }
     std::erase_if(state.m_cancelled_early, [&](const auto& entry) {
-        const bool expired = entry.second != 0 && entry.second < cutoff_ms;
+        const std::int64_t stored_ms = entry.second.m_stored_ms;
+        const bool expired = stored_ms != 0 && stored_ms < cutoff_ms;
         if (expired) {
             state.m_pending.m_entries.emplace_back(log_purged{entry.first});
         }
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -76,7 +76,13 @@
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
         if (final_state == submission_state::canceled) {
-            state.m_cancelled_early[id] = closed_ms;
+            early_cancellation& early = state.m_cancelled_early[id];
+            // The entry before names the organisation, unless the route was public.
+            const bool is_named = !early.m_organisations.empty() && early.m_stored_ms == 0;
+            if (!is_named) {
+                early.m_organisations.insert(organisation_id());
+            }
+            early.m_stored_ms = closed_ms;
         }
         return;
     }
@@ -264,6 +270,12 @@
         if (found != state.m_submissions.end()) {
             found->second->m_organisation = owner->m_organisation;
         }
+        else {
+            // It belongs to the cancellation of an unknown id, whose entry follows.
+            early_cancellation& early = state.m_cancelled_early[owner->m_id];
+            early.m_organisations.insert(owner->m_organisation);
+            early.m_stored_ms = 0;
+        }
     }
 }
 
@@ -509,13 +521,15 @@
         }
         else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
             const auto found = state.m_submissions.find(cancelled->m_id);
-            if (found != state.m_submissions.end() && !found->second->m_final_decided) {
+            // Without the request it was an early cancellation of another organisation.
+            if (found != state.m_submissions.end() && found->second->m_cancel_requested &&
+                !found->second->m_final_decided) {
                 close_submission(state, *found->second, submission_state::canceled, wall);
                 found->second->m_visible = submission_state::canceled;
             }
             const auto early = state.m_cancelled_early.find(cancelled->m_id);
             if (early != state.m_cancelled_early.end()) {
-                early->second = unix_ms(wall);
+                early->second.m_stored_ms = unix_ms(wall);
             }
         }
     }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -242,6 +242,13 @@
     std::string_view m_reason; ///< For a refusal: text for the caller.
 };
 
+/// A cancellation of an id that was not accepted before. It holds for a submission of the same
+/// organisations that comes later, since a copy of the request may still be on its way.
+struct early_cancellation {
+    std::set<organisation_id> m_organisations; ///< The empty id stands for public routes.
+    std::int64_t m_stored_ms = 0; ///< Unix time at which it became durable; zero before.
+};
+
 /// A submission that was refused and may be handed in again.
 struct refused_submission {
     time_point m_first_attempt{}; ///< A retry keeps it as its time of arrival.
@@ -266,9 +273,7 @@
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
     std::unordered_map<submission_id, refused_submission> m_refused;
-    /// Submissions that were cancelled before they were accepted, with the Unix time at which that
-    /// became durable, in milliseconds; zero before. A copy of the request may still be on its way.
-    std::unordered_map<submission_id, std::int64_t> m_cancelled_early;
+    std::unordered_map<submission_id, early_cancellation> m_cancelled_early;
     std::map<worker_id, std::unique_ptr<worker_record>> m_workers;
 
     log_batch m_pending; ///< Entries that have not been handed out for writing.
@@ -357,8 +362,9 @@
 void withdraw(shard& state, const submission_id& id);
 
 /// Queues the cancellation of a submission in the pending batch; false if the id is unknown. The
-/// cancellation of an unknown id is queued too and applies to a request that arrives later.
-bool cancel(shard& state, const submission_id& id);
+/// cancellation of an unknown id is queued too and applies to a request of the same organisation
+/// that arrives later.
+bool cancel(shard& state, const submission_id& id, const organisation_id& organisation = {});
 
 /// The state to report to callers; empty if the submission is unknown or not stored yet.
 std::optional<submission_state> state_of(const shard& state, const submission_id& id);
