Refuse keys on hosts that are cut off, where the settings ask for it

Cause: a host that reaches neither the store nor peers goes on with keys that were withdrawn meanwhile. Change: with the new setting strict-revoke a host that has heard neither for revoke-ms answers 503 with Retry-After to requests with a known key, until it hears one again; 401 stays for missing and unknown keys. Each refused key is logged once for a version, by the beginning of its digest, with at most 8 lines in a second.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -199,6 +199,21 @@
                                              read_boot_clock());
 }
 
+bool dispatcher::is_refusing_keys()
+{
+    const time_point now = read_boot_clock();
+    const time_point contact = last_contact(m_operator_records.last_received_at(), m_peer_table);
+    const bool refusing = refuses_keys(m_settings.m_revocation, contact, now);
+    if (refusing != m_refusing_keys) {
+        m_refusing_keys = refusing;
+        log_info(std::string("dispatch: requests with keys are ") +
+                 (refusing ? "refused, neither the store nor a peer was heard" : "served again") +
+                 " last_contact_ms=" +
+                 std::to_string(static_cast<std::int64_t>(to_milliseconds(now - contact))));
+    }
+    return refusing;
+}
+
 void dispatcher::on_shard_gained(const service_id& shard, revision token)
 {
     if (shard == machine_control_shard()) {
@@ -707,8 +722,13 @@
     const std::optional<organisation_id> organisation =
         authorize(*m_config, *found, request.m_authorization);
     if (!organisation) {
+        note(describe_refused_key(*found, request.m_authorization, last_reason(),
+                                  m_config->m_version, m_refused_keys, read_boot_clock()));
         co_return make_answer(http_status::unauthorized);
     }
+    if (!organisation->empty() && is_refusing_keys()) {
+        co_return make_answer(http_status::unavailable, {}, min_retry_after_s);
+    }
     const queue_route route = *found;
     const std::string rest = path.substr(route.m_path.size());
     const service_id service = route.m_contract.m_service;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -92,6 +92,8 @@
     [[nodiscard]] std::vector<queue_contract> queue_contracts() const;
     /// True if the store serves neither this host nor, by their latest greetings, any peer.
     [[nodiscard]] bool is_store_unreachable_for_all() const;
+    /// True if this host was cut off for too long to rely on the keys that it knows.
+    [[nodiscard]] bool is_refusing_keys();
 
     asio::io_context& m_context;
     host_settings m_settings;
@@ -109,7 +111,9 @@
     caller_server m_readiness_server;
     std::unique_ptr<caller_server> m_metrics_server; ///< Null if no metrics address is set.
     host_metrics m_metrics;
-    remembered_keys m_noted; ///< Requests that were logged; the same is not logged again.
+    refused_key_log m_refused_keys;
+    bool m_refusing_keys = false; ///< The log says that requests with keys are refused.
+    remembered_keys m_noted;      ///< Requests that were logged; the same is not logged again.
     std::optional<operator_config> m_config; ///< Empty until the first valid one was read.
     std::int64_t m_config_revision = 0;      ///< Of the newest one that was read, valid or not.
     std::map<service_id, std::shared_ptr<shard_owner>> m_owners; ///< Shards that this host owns.
--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -109,6 +109,17 @@
         number_setting("pace-ms", 100, 1, 60000, "ms", "Time until a changed pace takes effect."),
         text_setting("remote-factor", "1.5",
                      "Slow-down factor of a task away from its data, 1 to 100."),
+        {"strict-revoke",
+         setting_kind::word,
+         "false",
+         false,
+         0,
+         0,
+         "",
+         "Whether a host that hears neither the store nor any peer refuses requests with keys.",
+         {"true", "false"}},
+        number_setting("revoke-ms", 5000, 100, 600000, "ms",
+                       "Time without the store and any peer after which strict-revoke applies."),
         text_setting("upkeep-seconds", "2", "Duration of the upkeep of a machine, 0 to 3600 s."),
         text_setting("move-seconds", "1.5", "Duration of the move of a machine, 0 to 3600 s."),
         text_setting("machine-orders-per-second", "16",
@@ -162,6 +173,8 @@
     settings.m_move_duration = milliseconds_from_seconds(*move);
     settings.m_machine_orders_per_s = *rate;
     settings.m_first_start = values.text("first-start") == "true";
+    settings.m_revocation.m_strict = values.text("strict-revoke") == "true";
+    settings.m_revocation.m_max_time = milliseconds(values.number("revoke-ms"));
     schedule_bounds& bounds = settings.m_bounds;
     const auto max_hold_ms = static_cast<double>(values.number("longest-hold-ms"));
     bounds.m_worker_lease =
--- a/src/dispatch/operator_config.cpp
+++ b/src/dispatch/operator_config.cpp
@@ -24,12 +24,8 @@
     return best;
 }
 
-std::optional<organisation_id> authorize(const operator_config& config, const queue_route& route,
-                                         std::string_view authorization)
+std::string_view bearer_key(std::string_view authorization)
 {
-    if (route.m_public || config.m_organisations.empty()) {
-        return organisation_id();
-    }
     constexpr std::string_view scheme = "bearer ";
     const bool is_bearer =
         authorization.size() > scheme.size() &&
@@ -37,14 +33,24 @@
             return left == std::tolower(static_cast<unsigned char>(right));
         });
     if (!is_bearer) {
-        return fail("the request has no bearer key");
+        return {};
     }
     authorization.remove_prefix(scheme.size());
     const std::size_t begin = authorization.find_first_not_of(' ');
-    const organisation* found =
-        begin == std::string_view::npos
-            ? nullptr
-            : config.m_organisations.find_by_key(authorization.substr(begin));
+    return begin == std::string_view::npos ? std::string_view() : authorization.substr(begin);
+}
+
+std::optional<organisation_id> authorize(const operator_config& config, const queue_route& route,
+                                         std::string_view authorization)
+{
+    if (route.m_public || config.m_organisations.empty()) {
+        return organisation_id();
+    }
+    const std::string_view key = bearer_key(authorization);
+    if (key.empty()) {
+        return fail("the request has no bearer key");
+    }
+    const organisation* found = config.m_organisations.find_by_key(key);
     if (found == nullptr) {
         return fail("the key belongs to no organisation");
     }
--- a/src/dispatch/operator_config.h
+++ b/src/dispatch/operator_config.h
@@ -51,6 +51,10 @@
 const queue_route* find_route(const operator_config& config, std::string_view host,
                               std::string_view path);
 
+/// Returns the key in the value of an Authorization header of the scheme Bearer; empty if there is
+/// none.
+std::string_view bearer_key(std::string_view authorization);
+
 /// Finds the organisation that a request to a route belongs to, by the value of its Authorization
 /// header. The id is empty if the route is public or the configuration has no organisations. Empty
 /// result, with a reason, if the key is missing or unknown.
--- a/tests/support/local_host.h
+++ b/tests/support/local_host.h
@@ -40,7 +40,7 @@
 /// An entry host with loopback addresses.
 struct local_host {
     local_host(asio::io_context& context, const std::string& name, const ip_address& store,
-               std::vector<std::string> seeds)
+               std::vector<std::string> seeds, revocation_rule revocation = {})
         : m_peer_address(free_address(context)), m_readiness_address(free_address(context)),
           m_metrics_address(free_address(context)), m_caller_address(free_address(context))
     {
@@ -53,6 +53,7 @@
         settings.m_metrics_address = m_metrics_address;
         settings.m_store_address = store;
         settings.m_seeds = std::move(seeds);
+        settings.m_revocation = revocation;
         m_host = std::make_unique<dispatcher>(context, std::move(settings));
         m_host->start();
     }
