Tell what is left of organisations that the configuration no longer has

Cause: an operator could not see when none of an organisation's work runs any more. Change: the owner of a shard counts open submissions, runs and workers of organisations that left, at most once per second and only while one has left, and tells since when nothing runs, in its log and in metrics (32 organisations at most). Nothing counts as idle while a worker of a former owner has not reported or a run's submission is not known.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -687,6 +687,7 @@
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
         text += format_cancellation_metrics(state, now);
+        text += format_departure_metrics(owner->departed(), service, now);
     }
     return text;
 }
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -135,7 +135,7 @@
                         const organisation_directory& organisations)
 {
     guavabay::set_queues(m_shard, queues);
-    guavabay::set_organisations(m_shard, organisations);
+    set_organisations(organisations);
     spawn(*m_dependencies.m_context, "the owner of a shard",
           [self = shared_from_this()]() { return self->run(); });
 }
@@ -182,6 +182,7 @@
 void shard_owner::set_organisations(const organisation_directory& organisations)
 {
     guavabay::set_organisations(m_shard, organisations);
+    set_configured(m_departures, organisations, read_boot_clock());
 }
 
 void shard_owner::set_workers(const std::vector<worker_listing>& listings)
@@ -284,6 +285,9 @@
               });
     }
     request_advice();
+    for (std::string& line : update_departures(m_departures, m_shard, m_last_plan_at)) {
+        m_shard.m_log_lines.push_back(std::move(line));
+    }
     flush_log_lines();
     if (!m_shard.m_pending.m_entries.empty() || !m_shard.m_pending.m_ends.empty()) {
         m_log_timer.cancel();
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -13,6 +13,7 @@
 #include "dispatch/worker_directory.h"
 #include "peer/host_message.h"
 #include "schedule/advice.h"
+#include "schedule/departures.h"
 #include "schedule/shard.h"
 #include "store/store_item.h"
 
@@ -101,6 +102,9 @@
     /// Returns the shard's state, for metrics and status answers.
     [[nodiscard]] const shard& state() const { return m_shard; }
 
+    /// Returns what is left of organisations that the configuration no longer has.
+    [[nodiscard]] const departures& departed() const { return m_departures; }
+
 private:
     /// Log entries of a submission that calls wait for.
     enum class awaited_entry : std::uint8_t { accepted, cancelled };
@@ -172,6 +176,7 @@
 
     shard_owner_dependencies m_dependencies;
     shard m_shard;
+    departures m_departures;
     std::string m_log_prefix;
     std::uint64_t m_next_log_number = 1; ///< Number of the next log record.
     bool m_stopped = false;
