--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -220,6 +220,21 @@
                                              read_boot_clock());
 }
 
+bool dispatcher::is_refusing_keys()
+{
+    const time_point now = read_boot_clock();
+    const time_point contact = last_contact(m_operator_records.last_received_at(), m_peer_table);
+    const bool refusing = refuses_keys(m_settings.m_revocation, contact, now);
+    if (refusing != m_refusing_keys) {
+        m_refusing_keys = refusing;
+        log_info(std::string("dispatch: requests with keys are ") +
+                 (refusing ? "refused, neither the store nor a peer was heard" : "served again") +
+                 " last_contact_ms=" +
+                 std::to_string(static_cast<std::int64_t>(to_milliseconds(now - contact))));
+    }
+    return refusing;
+}
+
 void dispatcher::on_shard_gained(const service_id& shard, revision token)
 {
     if (shard == machine_control_shard()) {
@@ -277,9 +292,18 @@
 {
     for (const std::string& key : keys) {
         const auto found = m_operator_records.items().find(key);
-        if (key == platform::config_key && found != m_operator_records.items().end()) {
-            apply_config(found->second);
+        if (key != platform::config_key || found == m_operator_records.items().end()) {
+            continue;
         }
+        // After the record was removed from the store, a peer may still send an older one.
+        const std::int64_t received = found->second.m_revision.get();
+        if (received <= m_config_revision) {
+            log_info("config: older revision ignored revision=" + std::to_string(received) +
+                     " known_revision=" + std::to_string(m_config_revision));
+            continue;
+        }
+        m_config_revision = received;
+        apply_config(found->second);
     }
 }
 
@@ -316,9 +340,9 @@
     own_greeting.m_address = m_self.m_peer_address;
     own_greeting.m_store_answers = m_store.is_available();
     own_greeting.m_config_revision = config_revision();
-    if (with_config && own_greeting.m_config_revision != 0) {
-        own_greeting.m_config =
-            m_operator_records.items().at(std::string(platform::config_key)).m_value;
+    const auto config = m_operator_records.items().find(std::string(platform::config_key));
+    if (with_config && config != m_operator_records.items().end()) {
+        own_greeting.m_config = config->second.m_value;
     }
     own_greeting.m_peers = select_peers_to_announce(m_peer_table, max_announced_peers,
                                                     m_greeting_round, read_boot_clock());
@@ -345,16 +369,17 @@
                  " revision=" + std::to_string(received.m_config_revision) + " bytes=" +
                  std::to_string(received.m_config.size()) + " newer=" + (is_newer ? "yes" : "no"));
         const revision newer(received.m_config_revision);
-        m_operator_records.apply_if_newer({std::string(platform::config_key), received.m_config,
-                                           newer, newer, lease_id(), false});
+        if (is_newer) {
+            m_operator_records.apply_if_newer({std::string(platform::config_key), received.m_config,
+                                               newer, newer, lease_id(), false});
+        }
     }
     fetch_config_if_due();
 }
 
 std::int64_t dispatcher::config_revision() const
 {
-    const auto found = m_operator_records.items().find(std::string(platform::config_key));
-    return found == m_operator_records.items().end() ? 0 : found->second.m_revision.get();
+    return m_config_revision;
 }
 
 void dispatcher::fetch_config_if_due()
@@ -688,6 +713,7 @@
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
         text += format_quota_metrics(state);
         text += format_cancellation_metrics(state, now);
+        text += format_departure_metrics(owner->departed(), service, now);
     }
     return text;
 }
@@ -723,8 +749,13 @@
     const std::optional<organisation_id> organisation =
         authorize(*m_config, *found, request.m_authorization);
     if (!organisation) {
+        note(describe_refused_key(*found, request.m_authorization, last_reason(),
+                                  m_config->m_version, m_refused_keys, read_boot_clock()));
         co_return make_answer(http_status::unauthorized);
     }
+    if (!organisation->empty() && is_refusing_keys()) {
+        co_return make_answer(http_status::unavailable, {}, min_retry_after_s);
+    }
     const queue_route route = *found;
     const std::string rest = path.substr(route.m_path.size());
     const service_id service = route.m_contract.m_service;
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -136,7 +136,7 @@
                         const organisation_directory& organisations, std::uint32_t shard_count)
 {
     guavabay::set_queues(m_shard, queues);
-    guavabay::set_organisations(m_shard, organisations, shard_count);
+    set_organisations(organisations, shard_count);
     spawn(*m_dependencies.m_context, "the owner of a shard",
           [self = shared_from_this()]() { return self->run(); });
 }
@@ -184,6 +184,7 @@
                                     std::uint32_t shard_count)
 {
     guavabay::set_organisations(m_shard, organisations, shard_count);
+    set_configured(m_departures, organisations, read_boot_clock());
 }
 
 std::optional<quota_request> shard_owner::next_quota_request()
@@ -303,6 +304,9 @@
               });
     }
     request_advice();
+    for (std::string& line : update_departures(m_departures, m_shard, m_last_plan_at)) {
+        m_shard.m_log_lines.push_back(std::move(line));
+    }
     flush_log_lines();
     if (!m_shard.m_pending.m_entries.empty() || !m_shard.m_pending.m_ends.empty()) {
         m_log_timer.cancel();
@@ -768,7 +772,7 @@
     }
     note_cancellation(m_shard, id, read_boot_clock());
     flush_log_lines();
-    const bool known = guavabay::cancel(m_shard, id);
+    const bool known = guavabay::cancel(m_shard, id, organisation);
     const auto found = m_shard.m_submissions.find(id);
     if (known && found->second->m_final_decided &&
         found->second->m_visible == found->second->m_final) {
