--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -662,6 +662,7 @@
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
         text += format_cancellation_metrics(state, now);
+        text += format_organisation_metrics(state);
     }
     return text;
 }
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "schedule/fair_share.h"
 #include "schedule/shard_steps.h"
 
 namespace guavabay {
@@ -23,6 +24,12 @@
 /// this: the pool has capacity to spare then.
 constexpr milliseconds max_wait_when_late{1000};
 
+/// Excess work that stands for none, so that its finish tells when capacity is left for excess.
+constexpr double least_excess_core_ms = 1;
+
+/// Limit of computed times, for work that would never be done.
+constexpr double longest_finish_ms = 1e9;
+
 /// Work that the pool has accepted, in core-milliseconds.
 struct accepted_work {
     double m_in_time = 0; ///< Of submissions before their hard deadline.
@@ -49,10 +56,8 @@
     return work;
 }
 
-/// Remembers a refusal. The caller is told to return when the accepted work and that of the callers
-/// refused before will be done, so that callers do not all return to a full pool at once.
-seconds remember_refusal(shard& state, const submission_record& record, double accepted_core_ms,
-                         time_point now)
+/// Remembers a refusal; the caller sets when the submission returns.
+refused_submission& remember_refusal(shard& state, const submission_record& record, time_point now)
 {
     if (state.m_refused.size() >= max_remembered_refusals) {
         std::erase_if(state.m_refused, [now](const auto& entry) {
@@ -66,12 +71,123 @@
     refused.m_first_attempt = record.m_arrived;
     refused.m_returns_at = now;
     refused.m_core_ms = total_core_ms(record.m_definition);
-    const duration room_in =
-        estimate_work_time(state.m_capacity, accepted_core_ms + returning_work(state, now));
+    refused.m_organisation = record.m_organisation;
+    return refused;
+}
+
+/// Refuses a submission. The caller is told to return when the accepted work and that of the
+/// callers refused before will be done, so that callers do not all return to a full pool at once.
+admission_result refuse_until(refused_submission& refused, duration room_in, time_point now,
+                              std::string_view reason)
+{
     const seconds retry_after =
         std::clamp(std::chrono::ceil<seconds>(room_in), seconds(1), max_retry_after);
     refused.m_returns_at = now + retry_after;
-    return retry_after;
+    return {admission::refused, retry_after, reason};
+}
+
+/// Refuses a submission if the work of the whole pool delays it beyond its hard deadline.
+std::optional<admission_result> check_pool_backlog(shard& state, const submission_record& record,
+                                                   const pool_capacity& capacity, time_point now)
+{
+    const accepted_work work = measure_accepted_work(state, now);
+    const duration wait = estimate_work_time(capacity, work.m_in_time);
+    if (now + wait <= record.m_hard_deadline ||
+        estimate_work_time(capacity, work.m_total) <= max_wait_when_late) {
+        return std::nullopt;
+    }
+    refused_submission& refused = remember_refusal(state, record, now);
+    const duration room_in =
+        estimate_work_time(state.m_capacity, work.m_total + returning_work(state, now));
+    return refuse_until(refused, room_in, now, "the work accepted before it takes too long");
+}
+
+/// Accepted work by organisation, as claims on the pool.
+struct organisation_work {
+    std::vector<share_claim> m_in_time; ///< Of submissions before their hard deadline.
+    std::vector<share_claim> m_total;
+};
+
+void add_work(share_claim& claim, bool is_excess, double core_ms)
+{
+    (is_excess ? claim.m_excess_core_ms : claim.m_guaranteed_core_ms) += core_ms;
+}
+
+/// Measures the accepted work of all organisations. The slot of `first` is 0.
+organisation_work measure_organisations(shard& state, organisation_account& first, time_point now)
+{
+    organisation_work work;
+    begin_pass(state);
+    const auto find_slot = [&](organisation_account& account) {
+        const std::size_t slot = slot_of(state, account, work.m_total.size());
+        if (slot == work.m_total.size()) {
+            work.m_total.push_back({account.m_weight, account.m_max_cores, 0, 0});
+            work.m_in_time.push_back(work.m_total.back());
+        }
+        return slot;
+    };
+    find_slot(first);
+    for (submission_record* open : state.m_open_submissions) {
+        const std::size_t slot = find_slot(account_of(state, *open));
+        const double core_ms = open->m_remaining_core_ms;
+        add_work(work.m_total[slot], open->m_is_beyond_rate, core_ms);
+        if (now < open->m_hard_deadline) {
+            add_work(work.m_in_time[slot], open->m_is_beyond_rate, core_ms);
+        }
+    }
+    return work;
+}
+
+/// Time in which the work of the claim with slot 0 is done, the excess part or the other one.
+duration find_own_finish(const std::vector<share_claim>& claims, const pool_capacity& capacity,
+                         bool of_excess)
+{
+    const share_finish finish =
+        find_finish(claims, {capacity.m_usable_cores, capacity.m_incoming_cores, join_time_ms}, 0);
+    const double ms = of_excess ? finish.m_excess_ms : finish.m_guaranteed_ms;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(std::min(ms, longest_finish_ms)));
+}
+
+/// Refuses a submission if its organisation's work, under the organisation's fair share of the
+/// pool, delays it beyond its hard deadline.
+std::optional<admission_result> check_organisation_backlog(shard& state, submission_record& record,
+                                                           const pool_capacity& capacity,
+                                                           time_point now)
+{
+    organisation_account& own = account_of(state, record);
+    const bool is_excess = is_beyond_rate(own, now);
+    organisation_work work = measure_organisations(state, own, now);
+    add_work(work.m_in_time.front(), is_excess, total_core_ms(record.m_definition));
+    if (is_excess) {
+        add_work(work.m_total.front(), is_excess, least_excess_core_ms);
+    }
+    if (now + find_own_finish(work.m_in_time, capacity, is_excess) <= record.m_hard_deadline ||
+        find_own_finish(work.m_total, capacity, is_excess) <= max_wait_when_late) {
+        return std::nullopt;
+    }
+    ++own.m_counts.m_refused;
+    refused_submission& refused = remember_refusal(state, record, now);
+    double returning = 0;
+    for (const auto& [id, other] : state.m_refused) {
+        const bool counts =
+            other.m_returns_at > now && other.m_organisation == record.m_organisation;
+        returning += counts ? other.m_core_ms : 0;
+    }
+    add_work(work.m_total.front(), is_excess, returning);
+    return refuse_until(refused, find_own_finish(work.m_total, capacity, is_excess), now,
+                        "the work of its organisation accepted before it takes too long");
+}
+
+/// Counts an accepted submission for its organisation.
+void note_accepted(shard& state, submission_record& record, time_point now)
+{
+    organisation_account& account = account_of(state, record);
+    ++account.m_counts.m_accepted;
+    record.m_is_beyond_rate = is_beyond_rate(account, now);
+    if (!record.m_is_beyond_rate && !account.m_is_public) {
+        take_token(account);
+    }
 }
 
 bool is_long_running(const submission& what)
@@ -107,6 +223,7 @@
     for (const auto& [id, configured] : organisations.all()) {
         state.m_organisations[id] = configured.m_terms;
     }
+    update_accounts(state);
     state.m_ranking_stale = true;
 }
 
@@ -152,6 +269,8 @@
     const bool long_running = is_long_running(record->m_definition);
     if (refused != state.m_refused.end()) {
         record->m_arrived = refused->second.m_first_attempt;
+        record->m_waited_to_return =
+            std::chrono::duration_cast<milliseconds>(now - record->m_arrived);
     }
     else if (!long_running) {
         record_arrival(state, record->m_definition, now);
@@ -161,14 +280,17 @@
     // Refuse work that the backlog would delay beyond its hard deadline.
     const pool_capacity& capacity = current_capacity(state, now);
     if (capacity.m_usable_cores > 0 && !long_running && record->m_definition.m_repeat_count == 0) {
-        const accepted_work work = measure_accepted_work(state, now);
-        const duration wait = estimate_work_time(capacity, work.m_in_time);
-        if (now + wait > record->m_hard_deadline &&
-            estimate_work_time(capacity, work.m_total) > max_wait_when_late) {
-            return {admission::refused, remember_refusal(state, *record, work.m_total, now),
-                    "the work accepted before it takes too long"};
+        const std::optional<admission_result> refusal =
+            state.m_organisations.empty()
+                ? check_pool_backlog(state, *record, capacity, now)
+                : check_organisation_backlog(state, *record, capacity, now);
+        if (refusal) {
+            return *refusal;
         }
     }
+    if (!state.m_organisations.empty()) {
+        note_accepted(state, *record, now);
+    }
     if (refused != state.m_refused.end()) {
         state.m_refused.erase(refused);
     }
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -28,9 +28,6 @@
 /// The same for work whose hard deadline is over.
 constexpr double hopeless_backlog_time_ms = 5000;
 
-/// Approximate time until a machine that is already being moved runs tasks.
-constexpr double join_time_ms = 1500;
-
 /// Age at which the reported number of incoming machines is no longer used.
 constexpr milliseconds incoming_validity{1500};
 
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <queue>
+#include <tuple>
 
 #include "schedule/shard_steps.h"
 
@@ -25,6 +26,7 @@
 /// The unfinished part of an occurrence.
 struct remaining_work {
     double m_core_ms = 0;            ///< Core-milliseconds.
+    double m_memory_mb_ms = 0;       ///< Megabyte-milliseconds.
     milliseconds m_critical_path{0}; ///< Longest chain of unfinished steps, by estimates.
     bool m_long_running = false;
 };
@@ -50,6 +52,9 @@
         left.m_core_ms += static_cast<double>(open) *
                           static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
                           static_cast<double>(each.count());
+        left.m_memory_mb_ms += static_cast<double>(open) *
+                               static_cast<double>(steps[i].m_demand.m_memory_mb) *
+                               static_cast<double>(each.count());
     }
     return left;
 }
@@ -60,17 +65,28 @@
     remaining_work m_remaining;
     time_point m_deadline{}; ///< When it has to be finished.
     submission_tier m_tier = submission_tier::on_time;
+    std::size_t m_slot = 0;  ///< Of its organisation, where there are any.
+    double m_fair_work = 0;  ///< Core-milliseconds by its dominant resource.
+    double m_fair_order = 0; ///< Among late and hopeless ones; a lower one is ranked first.
 };
 
-/// Demotes the largest submissions of a tier until the remaining ones can all meet their deadlines
-/// with the available cores when they run in deadline order (Moore-Hodgson algorithm).
-void demote_overload(shard& state, std::vector<ranked_submission>& items, submission_tier from,
-                     submission_tier to, double cores, time_point now)
+struct smaller_work {
+    bool operator()(const ranked_submission* left, const ranked_submission* right) const
+    {
+        return left->m_remaining.m_core_ms < right->m_remaining.m_core_ms;
+    }
+};
+
+using largest_first =
+    std::priority_queue<ranked_submission*, std::vector<ranked_submission*>, smaller_work>;
+
+/// The submissions of a tier in the order of their deadlines.
+std::vector<ranked_submission*> sort_by_deadline(std::vector<ranked_submission>& items,
+                                                 submission_tier tier)
 {
-    const pool_capacity& capacity = current_capacity(state, now);
     std::vector<ranked_submission*> sorted;
     for (ranked_submission& item : items) {
-        if (item.m_tier == from) {
+        if (item.m_tier == tier) {
             sorted.push_back(&item);
         }
     }
@@ -78,11 +94,17 @@
               [](const ranked_submission* left, const ranked_submission* right) {
                   return left->m_deadline < right->m_deadline;
               });
-    const auto smaller = [](const ranked_submission* left, const ranked_submission* right) {
-        return left->m_remaining.m_core_ms < right->m_remaining.m_core_ms;
-    };
-    std::priority_queue<ranked_submission*, std::vector<ranked_submission*>, decltype(smaller)>
-        kept(smaller);
+    return sorted;
+}
+
+/// Demotes the largest submissions of a tier until the remaining ones can all meet their deadlines
+/// with the available cores when they run in deadline order (Moore-Hodgson algorithm).
+void demote_overload(shard& state, std::vector<ranked_submission>& items, submission_tier from,
+                     submission_tier to, double cores, time_point now)
+{
+    const pool_capacity& capacity = current_capacity(state, now);
+    const std::vector<ranked_submission*> sorted = sort_by_deadline(items, from);
+    largest_first kept;
     double work = 0;
     for (ranked_submission* item : sorted) {
         kept.push(item);
@@ -98,6 +120,160 @@
     }
 }
 
+/// What is planned to be on time for one organisation.
+struct planned_share {
+    double m_weight = 1;
+    double m_max_cores = 0;
+    double m_core_ms = 0;
+    double m_fair_work = 0;     ///< Core-milliseconds by dominant resources.
+    largest_first m_guaranteed; ///< Submissions within the organisation's rate.
+    largest_first m_excess;     ///< Those beyond it.
+};
+
+/// Demotes the largest submission of an organisation, one beyond its rate first.
+void demote_largest(planned_share& share, submission_tier to)
+{
+    largest_first& from = share.m_excess.empty() ? share.m_guaranteed : share.m_excess;
+    ranked_submission* largest = from.top();
+    from.pop();
+    share.m_core_ms -= largest->m_remaining.m_core_ms;
+    share.m_fair_work -= largest->m_fair_work;
+    largest->m_tier = to;
+}
+
+/// The organisation with the most planned work for its weight, of those with submissions beyond
+/// their rate if there is one; null if nothing is planned. It exceeds its fair share if the planned
+/// work exceeds the room.
+planned_share* find_largest_share(std::vector<planned_share>& shares)
+{
+    planned_share* largest = nullptr;
+    bool is_excess = false;
+    for (planned_share& share : shares) {
+        const bool has_excess = !share.m_excess.empty();
+        if (!has_excess && (is_excess || share.m_guaranteed.empty())) {
+            continue;
+        }
+        if (largest == nullptr || has_excess != is_excess ||
+            share.m_fair_work * largest->m_weight > largest->m_fair_work * share.m_weight) {
+            largest = &share;
+            is_excess = has_excess;
+        }
+    }
+    return largest;
+}
+
+/// Sets the slots of the submissions' organisations and their work by the dominant resource.
+std::vector<planned_share> begin_shares(shard& state, std::vector<ranked_submission>& items,
+                                        double cores_per_mb)
+{
+    std::vector<planned_share> shares;
+    begin_pass(state);
+    for (ranked_submission& item : items) {
+        organisation_account& account = account_of(state, *item.m_record);
+        item.m_slot = slot_of(state, account, shares.size());
+        item.m_fair_work =
+            std::max(item.m_remaining.m_core_ms, item.m_remaining.m_memory_mb_ms * cores_per_mb);
+        if (item.m_slot == shares.size()) {
+            shares.emplace_back();
+            shares.back().m_weight = account.m_weight;
+            shares.back().m_max_cores = account.m_max_cores;
+        }
+    }
+    return shares;
+}
+
+/// Like demote_overload(), but takes from the organisation that exceeds its weighted share of the
+/// room most, so that one within its share keeps its submissions. Work that an organisation's cap
+/// keeps from being on time does not use room of others.
+void demote_overload_fairly(shard& state, std::vector<ranked_submission>& items,
+                            std::vector<planned_share>& shares, double cores, time_point now)
+{
+    const pool_capacity& capacity = current_capacity(state, now);
+    double work = 0;
+    for (ranked_submission* item : sort_by_deadline(items, submission_tier::on_time)) {
+        planned_share& own = shares[item->m_slot];
+        (item->m_record->m_is_beyond_rate ? own.m_excess : own.m_guaranteed).push(item);
+        own.m_core_ms += item->m_remaining.m_core_ms;
+        own.m_fair_work += item->m_fair_work;
+        work += item->m_remaining.m_core_ms;
+        const double left_ms = std::max(1.0, to_milliseconds(item->m_deadline - now));
+        const auto demote_from = [&](planned_share& share) {
+            work -= share.m_core_ms;
+            demote_largest(share, submission_tier::late);
+            work += share.m_core_ms;
+        };
+        while (own.m_core_ms > own.m_max_cores * left_ms &&
+               !(own.m_excess.empty() && own.m_guaranteed.empty())) {
+            demote_from(own);
+        }
+        const double room =
+            plannable_core_share * available_core_ms(capacity, cores, now, item->m_deadline);
+        while (work > room) {
+            planned_share* largest = find_largest_share(shares);
+            if (largest == nullptr) {
+                break;
+            }
+            demote_from(*largest);
+        }
+    }
+}
+
+/// Orders the late and the hopeless submissions of a ranking so that organisations alternate by
+/// weight, in each tier first those within their rates. Planned work counts as used. The order
+/// within an organisation stays.
+void alternate_organisations(std::vector<ranked_submission>& items,
+                             const std::vector<planned_share>& shares)
+{
+    const auto begin = std::find_if(items.begin(), items.end(), [](const ranked_submission& item) {
+        return item.m_tier >= submission_tier::late;
+    });
+    const auto order = [](const ranked_submission& left, const ranked_submission& right) {
+        return std::tuple(left.m_tier, left.m_record->m_is_beyond_rate, left.m_fair_order) <
+               std::tuple(right.m_tier, right.m_record->m_is_beyond_rate, right.m_fair_order);
+    };
+    std::stable_sort(begin, items.end(), order);
+    std::vector<double> used;
+    used.reserve(shares.size());
+    for (const planned_share& share : shares) {
+        used.push_back(share.m_fair_work / share.m_weight);
+    }
+    for (auto item = begin; item != items.end(); ++item) {
+        used[item->m_slot] += item->m_fair_work / shares[item->m_slot].m_weight;
+        item->m_fair_order = used[item->m_slot];
+    }
+    std::stable_sort(begin, items.end(), order);
+}
+
+/// The order of submissions without organisations.
+bool ranks_before(const ranked_submission& left, const ranked_submission& right)
+{
+    if (left.m_tier != right.m_tier) {
+        return left.m_tier < right.m_tier;
+    }
+    if (left.m_tier == submission_tier::on_time && left.m_deadline != right.m_deadline) {
+        return left.m_deadline < right.m_deadline;
+    }
+    if (left.m_tier == submission_tier::late &&
+        left.m_remaining.m_core_ms != right.m_remaining.m_core_ms) {
+        return left.m_remaining.m_core_ms < right.m_remaining.m_core_ms;
+    }
+    if (left.m_record->m_arrived != right.m_record->m_arrived) {
+        return left.m_record->m_arrived < right.m_record->m_arrived;
+    }
+    return left.m_record->m_id < right.m_record->m_id;
+}
+
+/// Demotes what cannot be on time and sorts the submissions by rank, with fair shares of the
+/// organisations.
+void rank_fairly(shard& state, std::vector<ranked_submission>& items, double cores,
+                 double cores_per_mb, time_point now)
+{
+    std::vector<planned_share> shares = begin_shares(state, items, cores_per_mb);
+    demote_overload_fairly(state, items, shares, cores, now);
+    std::sort(items.begin(), items.end(), ranks_before);
+    alternate_organisations(items, shares);
+}
+
 /// True when an occurrence has a task to start that needs more than half of a worker.
 bool has_large_ready_task(const submission_record& record, const occurrence_state& occurrence,
                           const resources& worker)
@@ -158,6 +334,7 @@
     state.m_ranking_stale = false;
     state.m_ranked_at = now;
     double cores = 0;
+    double memory_mb = 0;
     resources largest_worker;
     for (const auto& [id, worker] : state.m_workers) {
         if (!accepts_starts(*worker, now)) {
@@ -168,9 +345,11 @@
             largest_worker = capacity;
         }
         cores += static_cast<double>(worker->m_info.m_capacity.m_cpu_millis) / 1000.0;
+        memory_mb += static_cast<double>(worker->m_info.m_capacity.m_memory_mb);
         for (const auto& [key, slot] : worker->m_runs) {
             if (slot.m_long_running) {
                 cores -= static_cast<double>(slot.m_reserved.m_cpu_millis) / 1000.0;
+                memory_mb -= static_cast<double>(slot.m_reserved.m_memory_mb);
             }
         }
     }
@@ -228,25 +407,13 @@
         }
         items.push_back(item);
     }
-    demote_overload(state, items, submission_tier::on_time, submission_tier::late, cores, now);
-    std::sort(items.begin(), items.end(),
-              [&](const ranked_submission& left, const ranked_submission& right) {
-                  if (left.m_tier != right.m_tier) {
-                      return left.m_tier < right.m_tier;
-                  }
-                  if (left.m_tier == submission_tier::on_time &&
-                      left.m_deadline != right.m_deadline) {
-                      return left.m_deadline < right.m_deadline;
-                  }
-                  if (left.m_tier == submission_tier::late &&
-                      left.m_remaining.m_core_ms != right.m_remaining.m_core_ms) {
-                      return left.m_remaining.m_core_ms < right.m_remaining.m_core_ms;
-                  }
-                  if (left.m_record->m_arrived != right.m_record->m_arrived) {
-                      return left.m_record->m_arrived < right.m_record->m_arrived;
-                  }
-                  return left.m_record->m_id < right.m_record->m_id;
-              });
+    if (state.m_organisations.empty()) {
+        demote_overload(state, items, submission_tier::on_time, submission_tier::late, cores, now);
+        std::sort(items.begin(), items.end(), ranks_before);
+    }
+    else {
+        rank_fairly(state, items, cores, memory_mb > 0 ? cores / memory_mb : 0, now);
+    }
     state.m_ranked.clear();
     for (const ranked_submission& item : items) {
         item.m_record->m_tier = item.m_tier;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -429,11 +429,15 @@
         }
     }
     erase_advice(state, record.m_id);
+    if (final_state == submission_state::succeeded) {
+        count_success(state, record, wall);
+    }
     record.m_final_decided = true;
     record.m_final = final_state;
     record.m_closed_ms = unix_ms(wall);
     record.m_occurrences.clear();
     record.m_definition = {};
+    record.m_account = nullptr;
     state.m_open_submissions.erase(&record);
     state.m_ranking_stale = true;
     if (final_state != submission_state::canceled) {
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
+#include "schedule/organisation_accounts.h"
 #include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
@@ -81,8 +82,12 @@
     submission_id m_id;
     queue_id m_queue;
     organisation_id m_organisation; ///< It belongs to; empty for one of a public route.
+    /// Set while it is open, once it was needed. It belongs to the organisation.
+    organisation_account* m_account = nullptr;
+    bool m_is_beyond_rate = false; ///< Its organisation had sent more than its weight grants.
     submission m_definition;
-    std::int64_t m_accepted_ms = 0; ///< Unix time.
+    std::int64_t m_accepted_ms = 0;     ///< Unix time.
+    milliseconds m_waited_to_return{0}; ///< From the first, refused attempt to the accepted one.
     time_point m_arrived{};
     time_point m_objective{};     ///< A later finish earns little.
     time_point m_hard_deadline{}; ///< A later finish earns nothing.
@@ -247,6 +252,7 @@
     time_point m_first_attempt{}; ///< A retry keeps it as its time of arrival.
     time_point m_returns_at{};    ///< When the caller was told to try again.
     double m_core_ms = 0;         ///< Its work, in core-milliseconds.
+    organisation_id m_organisation;
 };
 
 /// Scheduling state of one shard: the submissions of one service's queues and the workers of that
@@ -262,6 +268,9 @@
     /// From the configuration; empty if it has no organisations. One that the configuration no
     /// longer has keeps its last terms while it has open submissions.
     std::map<organisation_id, organisation_terms> m_organisations;
+    std::map<organisation_id, organisation_account> m_accounts; ///< Empty without organisations.
+    organisation_counts m_former_organisations;                 ///< Of accounts that were removed.
+    std::uint64_t m_account_pass = 0; ///< Number of the last pass that gave slots.
 
     std::unordered_map<submission_id, std::unique_ptr<submission_record>> m_submissions;
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -125,6 +125,9 @@
 /// again.
 void record_arrival(shard& state, const submission& what, time_point now);
 
+/// Approximate time until a machine that is already being moved runs tasks.
+inline constexpr double join_time_ms = 1500;
+
 /// The pool's capacity, determined anew if the last result is older than a few milliseconds.
 const pool_capacity& current_capacity(shard& state, time_point now);
 
--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -108,6 +108,7 @@
     if (m_has_route) {
         set_queues(state, {m_contract});
     }
+    guavabay::set_organisations(state, m_organisations);
     for (const std::vector<log_entry>& batch : m_log) {
         for (const log_entry& entry : batch) {
             replay_entry(state, entry, m_now, wall_at(m_now));
@@ -789,11 +790,18 @@
     }
 }
 
-admission_result virtual_pool::submit(const std::string& id, submission what)
+admission_result virtual_pool::submit(const std::string& id, submission what,
+                                      const organisation_id& organisation)
 {
     m_submitted[id] = what;
     return admit(current_owner().m_shard, submission_id(id), m_contract.m_queue, std::move(what),
-                 m_now, wall_at(m_now));
+                 m_now, wall_at(m_now), organisation);
+}
+
+void virtual_pool::set_organisations(organisation_directory organisations)
+{
+    m_organisations = std::move(organisations);
+    guavabay::set_organisations(current_owner().m_shard, m_organisations);
 }
 
 bool virtual_pool::cancel(const std::string& id)
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -139,8 +139,12 @@
     /// The Unix time at the current virtual time.
     [[nodiscard]] wall_time wall() const;
 
-    /// Submits to the current owner.
-    admission_result submit(const std::string& id, submission what);
+    /// Submits to the current owner; without an organisation as work of a public route.
+    admission_result submit(const std::string& id, submission what,
+                            const organisation_id& organisation = {});
+
+    /// Sets the organisations of the configuration, for the current owner and all later ones.
+    void set_organisations(organisation_directory organisations);
 
     /// Cancels a submission at the current owner.
     bool cancel(const std::string& id);
@@ -238,6 +242,7 @@
     void advise(std::size_t owner);
     [[nodiscard]] std::int64_t clock_of(const virtual_worker& worker) const;
 
+    organisation_directory m_organisations;
     time_point m_now{seconds(1000)};
     std::mt19937_64 m_random;
     time_point m_calm_since{};
