Plan fair shares by work that waits and by the latest start

Cause: under a burst the plan filled the time until the last deadline, so that the last of the planned submissions ended late for every organisation. Change: with organisations, only tasks that are not placed count as planned work, and they have to start a critical path before the deadline.

--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -27,6 +27,7 @@
 struct remaining_work {
     double m_core_ms = 0;            ///< Core-milliseconds.
     double m_memory_mb_ms = 0;       ///< Megabyte-milliseconds.
+    double m_waiting_core_ms = 0;    ///< Core-milliseconds of tasks that are not placed.
     milliseconds m_critical_path{0}; ///< Longest chain of unfinished steps, by estimates.
     bool m_long_running = false;
 };
@@ -52,6 +53,11 @@
         left.m_core_ms += static_cast<double>(open) *
                           static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
                           static_cast<double>(each.count());
+        // With an earlier step unfinished none of the tasks is placed.
+        const std::uint32_t waiting = begin > milliseconds(0) ? open : occurrence.m_ready_tasks[i];
+        left.m_waiting_core_ms += static_cast<double>(waiting) *
+                                  static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
+                                  static_cast<double>(each.count());
         left.m_memory_mb_ms += static_cast<double>(open) *
                                static_cast<double>(steps[i].m_demand.m_memory_mb) *
                                static_cast<double>(each.count());
@@ -130,8 +136,14 @@
     largest_first m_excess;     ///< Those beyond it.
 };
 
-/// Demotes the largest submission of an organisation, one beyond its rate first.
-void demote_largest(planned_share& share, submission_tier to)
+bool has_planned_work(const planned_share& share)
+{
+    return !share.m_excess.empty() || !share.m_guaranteed.empty();
+}
+
+/// Demotes the largest submission of an organisation, one beyond its rate first. Returns its
+/// core-milliseconds that are not placed.
+double demote_largest(planned_share& share, submission_tier to)
 {
     largest_first& from = share.m_excess.empty() ? share.m_guaranteed : share.m_excess;
     ranked_submission* largest = from.top();
@@ -139,6 +151,7 @@
     share.m_core_ms -= largest->m_remaining.m_core_ms;
     share.m_fair_work -= largest->m_fair_work;
     largest->m_tier = to;
+    return largest->m_remaining.m_waiting_core_ms;
 }
 
 /// The organisation with the most planned work for its weight, of those with submissions beyond
@@ -184,7 +197,9 @@
 
 /// Like demote_overload(), but takes from the organisation that exceeds its weighted share of the
 /// room most, so that one within its share keeps its submissions. Work that an organisation's cap
-/// keeps from being on time does not use room of others.
+/// keeps from being on time does not use room of others. Unlike there, only work that is not placed
+/// yet counts, and it has to start a critical path before its deadline: without that the last of
+/// the planned submissions end late, and those of organisations within their share among them.
 void demote_overload_fairly(shard& state, std::vector<ranked_submission>& items,
                             std::vector<planned_share>& shares, double cores, time_point now)
 {
@@ -192,28 +207,26 @@
     double work = 0;
     for (ranked_submission* item : sort_by_deadline(items, submission_tier::on_time)) {
         planned_share& own = shares[item->m_slot];
-        (item->m_record->m_is_beyond_rate ? own.m_excess : own.m_guaranteed).push(item);
         own.m_core_ms += item->m_remaining.m_core_ms;
         own.m_fair_work += item->m_fair_work;
-        work += item->m_remaining.m_core_ms;
+        if (item->m_remaining.m_waiting_core_ms <= 0) {
+            continue;
+        }
+        (item->m_record->m_is_beyond_rate ? own.m_excess : own.m_guaranteed).push(item);
+        work += item->m_remaining.m_waiting_core_ms;
         const double left_ms = std::max(1.0, to_milliseconds(item->m_deadline - now));
-        const auto demote_from = [&](planned_share& share) {
-            work -= share.m_core_ms;
-            demote_largest(share, submission_tier::late);
-            work += share.m_core_ms;
-        };
-        while (own.m_core_ms > own.m_max_cores * left_ms &&
-               !(own.m_excess.empty() && own.m_guaranteed.empty())) {
-            demote_from(own);
+        while (own.m_core_ms > own.m_max_cores * left_ms && has_planned_work(own)) {
+            work -= demote_largest(own, submission_tier::late);
         }
+        const time_point latest_start = item->m_deadline - item->m_remaining.m_critical_path;
         const double room =
-            plannable_core_share * available_core_ms(capacity, cores, now, item->m_deadline);
+            plannable_core_share * available_core_ms(capacity, cores, now, latest_start);
         while (work > room) {
             planned_share* largest = find_largest_share(shares);
             if (largest == nullptr) {
                 break;
             }
-            demote_from(*largest);
+            work -= demote_largest(*largest, submission_tier::late);
         }
     }
 }
