Measure planned work without an organisation's largest submission

Cause: one open submission of an organisation with weight 1 counted as more than its share, so small organisations were demoted first. Change: the planned level leaves out the largest submission; the token bucket holds 4 s and at least 8 submissions, so that uneven arrivals are no excess.

--- a/src/schedule/organisation_accounts.cpp
+++ b/src/schedule/organisation_accounts.cpp
@@ -12,8 +12,8 @@
 
 /// Capacity of a bucket, as a time at the organisation's rate and as a least number, so that uneven
 /// arrivals of a small organisation don't count as excess.
-constexpr double bucket_seconds = 2;
-constexpr double min_bucket_tokens = 4;
+constexpr double bucket_seconds = 4;
+constexpr double min_bucket_tokens = 8;
 
 /// Limit of organisations that have metrics of their own.
 constexpr std::size_t max_listed_organisations = 32;
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -154,21 +154,30 @@
     return largest->m_remaining.m_waiting_core_ms;
 }
 
-/// The organisation with the most planned work for its weight, of those with submissions beyond
-/// their rate if there is one; null if nothing is planned. It exceeds its fair share if the planned
-/// work exceeds the room.
+/// Planned work of an organisation for its weight, without its largest submission: a single open
+/// submission of a small organisation does not count as more than its share.
+double planned_level(const planned_share& share)
+{
+    const largest_first& from = share.m_excess.empty() ? share.m_guaranteed : share.m_excess;
+    return (share.m_fair_work - from.top()->m_fair_work) / share.m_weight;
+}
+
+/// The organisation with the highest planned level, of those with submissions beyond their rate if
+/// there is one; null if nothing is planned.
 planned_share* find_largest_share(std::vector<planned_share>& shares)
 {
     planned_share* largest = nullptr;
+    double level = 0;
     bool is_excess = false;
     for (planned_share& share : shares) {
         const bool has_excess = !share.m_excess.empty();
-        if (!has_excess && (is_excess || share.m_guaranteed.empty())) {
+        if ((is_excess && !has_excess) || !has_planned_work(share)) {
             continue;
         }
-        if (largest == nullptr || has_excess != is_excess ||
-            share.m_fair_work * largest->m_weight > largest->m_fair_work * share.m_weight) {
+        const double own_level = planned_level(share);
+        if (largest == nullptr || has_excess != is_excess || own_level > level) {
             largest = &share;
+            level = own_level;
             is_excess = has_excess;
         }
     }
