Leave a margin for guaranteed work, and judge excess by the whole share too

Cause: excess filled the plan, so that what arrived next ended late; and small organisations beyond their rate were refused while another had far more. Change: excess is planned in 0.35 of the cores instead of 0.7; excess is refused only if the organisation's work does not fit into its share of all cores either.

--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "schedule/fair_share.h"
 #include "schedule/shard_steps.h"
@@ -149,6 +150,15 @@
         std::chrono::duration<double, std::milli>(std::min(ms, longest_finish_ms)));
 }
 
+/// The same claims with all work within the rates.
+std::vector<share_claim> without_excess(std::vector<share_claim> claims)
+{
+    for (share_claim& claim : claims) {
+        claim.m_guaranteed_core_ms += std::exchange(claim.m_excess_core_ms, 0);
+    }
+    return claims;
+}
+
 /// Refuses a submission if its organisation's work, under the organisation's fair share of the
 /// pool, delays it beyond its hard deadline.
 std::optional<admission_result> check_organisation_backlog(shard& state, submission_record& record,
@@ -166,6 +176,12 @@
         find_own_finish(work.m_total, capacity, is_excess) <= max_wait_when_late) {
         return std::nullopt;
     }
+    // Excess of an organisation whose work fits into its share of the cores is not refused: others
+    // exceed theirs.
+    if (is_excess && now + find_own_finish(without_excess(work.m_in_time), capacity, false) <=
+                         record.m_hard_deadline) {
+        return std::nullopt;
+    }
     ++own.m_counts.m_refused;
     refused_submission& refused = remember_refusal(state, record, now);
     double returning = 0;
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -19,6 +19,10 @@
 /// docs/design/schedule.md.
 constexpr double plannable_core_share = 0.7;
 
+/// The same for submissions beyond their organisation's rate. They leave a margin, since a plan
+/// that is full delays what arrives next by as much as its deadline allows.
+constexpr double plannable_excess_share = 0.35;
+
 /// A submission with a task that needs most of a worker is put before the others once none of its
 /// tasks has started for this long: smaller tasks that rank higher take each room that runs leave.
 constexpr milliseconds starvation_time{3000};
@@ -228,11 +232,11 @@
             work -= demote_largest(own, submission_tier::late);
         }
         const time_point latest_start = item->m_deadline - item->m_remaining.m_critical_path;
-        const double room =
-            plannable_core_share * available_core_ms(capacity, cores, now, latest_start);
-        while (work > room) {
+        const double room = available_core_ms(capacity, cores, now, latest_start);
+        while (work > plannable_excess_share * room) {
             planned_share* largest = find_largest_share(shares);
-            if (largest == nullptr) {
+            const bool fits = work <= plannable_core_share * room;
+            if (largest == nullptr || (fits && largest->m_excess.empty())) {
                 break;
             }
             work -= demote_largest(*largest, submission_tier::late);
