Order late work of organisations by the start of their turn

Cause: a submission of a small organisation waited for the share that it would itself use up. Change: its own work counts only for what comes after it.

--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -264,8 +264,8 @@
         used.push_back(share.m_fair_work / share.m_weight);
     }
     for (auto item = begin; item != items.end(); ++item) {
-        used[item->m_slot] += item->m_fair_work / shares[item->m_slot].m_weight;
         item->m_fair_order = used[item->m_slot];
+        used[item->m_slot] += item->m_fair_work / shares[item->m_slot].m_weight;
     }
     std::stable_sort(begin, items.end(), order);
 }
