--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -714,6 +714,7 @@
         text += format_quota_metrics(state);
         text += format_cancellation_metrics(state, now);
         text += format_departure_metrics(owner->departed(), service, now);
+        text += format_organisation_metrics(state);
     }
     return text;
 }
