Let the virtual pool run tasks for other times than their estimates

The comparison of run time models needs tasks whose true times differ from the declared ones and stay the same whatever the scheduler decides. A test may set m_true_time_ms; without it nothing changes.

--- a/tests/support/virtual_pool.cpp
+++ b/tests/support/virtual_pool.cpp
@@ -221,6 +221,9 @@
                          ? -1
                          : static_cast<double>(step_definition.m_estimate.count()) *
                                (m_duration_sigma > 0 ? noise(m_random) : 1);
+    if (m_true_time_ms && !step_definition.m_long_running) {
+        run.m_total_ms = m_true_time_ms(order.m_task);
+    }
     std::uniform_real_distribution<double> chance(0, 1);
     run.m_fails = chance(m_random) < worker.m_failing_share ||
                   m_always_failing.contains(order.m_task.m_submission.str());
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -208,6 +209,9 @@
     int m_rejected_tickets = 0;                 ///< Starts without a valid ticket.
     double m_duration_sigma = 0;                ///< Sigma of the lognormal factor of run times over
                                                 ///< estimates.
+    /// Run time of a task at full speed on its worker, in milliseconds, in place of its estimate;
+    /// empty where tasks take what their estimates say.
+    std::function<double(const task_name&)> m_true_time_ms;
 
     /// Checks one start and records violations; tests also call it with invalid starts.
     void check_start(std::size_t worker, const worker_order& order);
