Learn run times as distributions, per queue, organisation and submission

Cause: one factor per queue, clamped to 0.2 to 6, stood for run times.

Change: src/schedule/run_times.{h,cpp}, pure: how the estimates of a queue's submissions are wrong (mean and change with the size of the estimate), what a submission's own tasks have told, and histograms of what remains. Ranking, admission, objectives, reservations, the time until a machine is free, stalled runs and slowness of workers use it. Runs report progress, which is extrapolated. No new log entries; without samples estimates count as declared.

--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "schedule/shard_steps.h"
 
@@ -80,6 +81,20 @@
                        [](const submission_step& step) { return step.m_long_running; });
 }
 
+/// Mean natural logarithm of the estimates in milliseconds of the steps that end.
+double mean_log_estimate(const submission& what)
+{
+    double sum = 0;
+    int steps = 0;
+    for (const submission_step& step : what.m_steps) {
+        if (!step.m_long_running && step.m_estimate > milliseconds(0)) {
+            sum += std::log(static_cast<double>(step.m_estimate.count()));
+            ++steps;
+        }
+    }
+    return steps > 0 ? sum / steps : 0;
+}
+
 } // namespace
 
 void set_queues(shard& state, const std::vector<queue_contract>& queues)
@@ -120,10 +135,10 @@
 void set_deadlines(const shard& state, submission_record& record)
 {
     const queue_contract& contract = contract_of(state, record);
-    const auto found = state.m_durations.find(record.m_queue);
-    const double ratio = found == state.m_durations.end() ? 1 : found->second.m_ratio;
-    const double chain =
-        static_cast<double>(critical_path_length(record.m_definition).count()) * ratio;
+    record.m_run_times.m_log_estimate = mean_log_estimate(record.m_definition);
+    record.m_run_times.m_changed = false;
+    const double chain = static_cast<double>(critical_path_length(record.m_definition).count()) *
+                         estimate_factor(run_times_of(state, record), record.m_run_times);
     const milliseconds span =
         milliseconds(static_cast<std::int64_t>(contract.m_stretch_factor * chain)) +
         contract.m_target;
@@ -172,8 +187,10 @@
     if (refused != state.m_refused.end()) {
         state.m_refused.erase(refused);
     }
-    record->m_remaining_core_ms = long_running ? 0 : total_core_ms(record->m_definition);
-    record->m_remaining_critical_path = critical_path_length(record->m_definition);
+    const double factor = estimate_factor(run_times_of(state, *record), record->m_run_times);
+    record->m_remaining_core_ms = long_running ? 0 : total_core_ms(record->m_definition) * factor;
+    record->m_remaining_critical_path = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(critical_path_length(record->m_definition).count()) * factor));
     record->m_occurrences.resize(occurrence_count(record->m_definition));
     if (record->m_definition.m_repeat_count == 0) {
         create_occurrence(*record, 0);
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -18,10 +18,6 @@
 /// A long-running task that is not available within this time is restarted elsewhere.
 constexpr milliseconds long_running_stall_timeout{5000};
 
-/// A run's progress is reported in whole percents, so that a long run shows none for a while. It is
-/// not stalled before this share of its expected time has passed.
-constexpr double stalled_share_of_estimate = 0.03;
-
 /// Interval of checks that look at every run of every worker: leases, stalled runs, long-running
 /// tasks that have to leave their worker, and paces.
 constexpr milliseconds worker_review_interval{20};
@@ -50,10 +46,15 @@
     slot.m_run = run;
     slot.m_reserved = request.m_demand;
     slot.m_long_running = request.m_step->m_long_running;
+    slot.m_partial = !task.m_checkpoint.empty();
     slot.m_order_pending = true;
     slot.m_ordered_at = now;
     slot.m_progress_at = now;
     slot.m_estimate = request.m_expected_duration;
+    const double high =
+        high_over_typical(run_times_of(state, *request.m_record), request.m_record->m_run_times);
+    slot.m_stall_time = usual_pause(milliseconds(
+        static_cast<std::int64_t>(high * static_cast<double>(slot.m_estimate.count()))));
     slot.m_image = request.m_step->m_image;
     slot.m_tail_latency_target_ms = request.m_step->m_tail_latency_target_ms;
     slot.m_uses_idle_cores = request.m_step->m_uses_idle_cores;
@@ -71,6 +72,8 @@
     task.m_worker = &worker;
     task.m_run = run;
     task.m_available = false;
+    task.m_started_at = now;
+    task.m_expected_end = now + slot.m_estimate;
     worker_order order;
     order.m_kind = worker_order::kind::start;
     order.m_worker = worker.m_info.m_id;
@@ -265,9 +268,7 @@
     if (slot.m_long_running) {
         return long_running_stall_timeout;
     }
-    const milliseconds by_estimate(static_cast<std::int64_t>(
-        stalled_share_of_estimate * static_cast<double>(slot.m_estimate.count())));
-    return std::max(stall_timeout, by_estimate);
+    return std::max(stall_timeout, slot.m_stall_time);
 }
 
 /// Ends the runs of a worker whose lease has certainly expired, even on its slowest possible
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -29,12 +29,42 @@
     bool m_long_running = false;
 };
 
+/// Tasks of a step that are on workers, with the time that their runs are expected to take on.
+struct running_tasks {
+    std::uint32_t m_count = 0;
+    double m_total_ms = 0;
+    double m_longest_ms = 0;
+};
+
+running_tasks measure_running(const shard& state, const submission_record& record,
+                              const std::vector<scheduled_task>& tasks, double each_ms,
+                              time_point now)
+{
+    running_tasks running;
+    const milliseconds each(static_cast<std::int64_t>(each_ms));
+    for (const scheduled_task& task : tasks) {
+        if (task.m_phase != task_phase::placed) {
+            continue;
+        }
+        const time_point end = task.m_expected_end > now
+                                   ? task.m_expected_end
+                                   : expected_end(state, record, each, task.m_started_at, now);
+        const double left_ms = std::max(0.0, to_milliseconds(end - now));
+        ++running.m_count;
+        running.m_total_ms += left_ms;
+        running.m_longest_ms = std::max(running.m_longest_ms, left_ms);
+    }
+    return running;
+}
+
 /// Measures the unfinished part of an occurrence; `ends` is reused between calls.
 remaining_work measure_remaining(const shard& state, const submission_record& record,
                                  const occurrence_state& occurrence,
-                                 std::vector<milliseconds>& ends)
+                                 std::vector<milliseconds>& ends, time_point now)
 {
     remaining_work left;
+    const double factor = estimate_factor(run_times_of(state, record), record.m_run_times);
+
     const std::vector<submission_step>& steps = record.m_definition.m_steps;
     ends.assign(steps.size(), milliseconds(0));
     for (std::size_t i = 0; i < steps.size(); ++i) {
@@ -44,12 +74,18 @@
             begin = std::max(begin, ends[earlier]);
         }
         const std::uint32_t open = occurrence.m_unfinished_tasks[i];
-        const milliseconds each = expected_time(state, record, steps[i]);
-        ends[i] = begin + (open > 0 ? each : milliseconds(0));
+        const double each_ms = factor * static_cast<double>(steps[i].m_estimate.count());
+        running_tasks running;
+        const bool has_begun = open > occurrence.m_ready_tasks[i] && begin == milliseconds(0);
+        if (has_begun && !steps[i].m_long_running) {
+            running = measure_running(state, record, occurrence.m_steps[i], each_ms, now);
+        }
+        const std::uint32_t waiting = open - running.m_count;
+        const double longest_ms = std::max(running.m_longest_ms, waiting > 0 ? each_ms : 0);
+        ends[i] = begin + milliseconds(static_cast<std::int64_t>(longest_ms));
         left.m_critical_path = std::max(left.m_critical_path, ends[i]);
-        left.m_core_ms += static_cast<double>(open) *
-                          static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
-                          static_cast<double>(each.count());
+        left.m_core_ms += static_cast<double>(steps[i].m_demand.m_cpu_millis) / 1000.0 *
+                          (static_cast<double>(waiting) * each_ms + running.m_total_ms);
     }
     return left;
 }
@@ -182,6 +218,9 @@
         if (record->m_cancel_requested || !record->m_accept_stored) {
             continue;
         }
+        if (record->m_run_times.m_changed) {
+            set_deadlines(state, *record);
+        }
         ranked_submission item{record, {}, record->m_objective, submission_tier::on_time};
         bool any = false;
         for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
@@ -198,7 +237,8 @@
             if (occurrence.m_done) {
                 continue;
             }
-            const remaining_work left = measure_remaining(state, *record, occurrence, step_ends);
+            const remaining_work left =
+                measure_remaining(state, *record, occurrence, step_ends, now);
             if (!any) {
                 item.m_remaining = left;
                 if (record->m_definition.m_repeat_count > 0) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -29,12 +29,10 @@
 /// in an entry that was left out.
 constexpr std::size_t max_reported_ends = 500;
 
-/// Weight of the newest sample in the moving averages of a worker's slowness and a queue's duration
-/// ratio.
+/// Weight of the newest sample in the moving average of a worker's slowness.
 constexpr double slowness_weight = 0.1;
-constexpr double ratio_weight = 0.05;
-/// Below this number of samples the duration ratio is their plain mean.
-constexpr std::uint32_t warm_up_samples = 20;
+/// Progress after which a run's time is extrapolated: rounding then errs by a fifth at most.
+constexpr std::int32_t min_progress_percent = 5;
 /// Samples are clamped to this range, which limits the effect of outliers.
 constexpr double min_sample_ratio = 0.2;
 constexpr double max_sample_ratio = 6;
@@ -71,27 +69,71 @@
     stop_run(state, *task.m_worker, *slot, true);
 }
 
-/// Updates the worker's slowness and the queue's duration ratio with a run that is done. Runs that
-/// are long-running or below full pace are ignored: their times say nothing about the estimate.
-void update_duration_model(shard& state, worker_record& worker, const submission_record& record,
-                           const run_slot& slot, time_point now)
+/// Corrects a run's expected end by its progress since its first report, and tells its submission
+/// how long its tasks take. Progress in whole percents tells nothing before some have passed, and
+/// nothing of a run whose pace was changed. The time before the first percent is left out: a member
+/// of a gang waits for the others.
+void learn_from_progress(submission_record& record, scheduled_task& task, run_slot& slot,
+                         time_point now)
 {
-    if (slot.m_long_running || slot.m_estimate <= milliseconds(0) || slot.m_pace < 100) {
+    if (slot.m_long_running || slot.m_percent < 1 || slot.m_percent >= 100 ||
+        slot.m_pace_at != time_point{} || slot.m_phase != run_phase::running) {
         return;
     }
+    if (slot.m_first_percent < 0) {
+        slot.m_first_percent = slot.m_percent;
+        slot.m_first_percent_at = now;
+        return;
+    }
+    const std::int32_t passed = slot.m_percent - slot.m_first_percent;
+    if (passed < 1) {
+        return;
+    }
+    const double percent_ms = to_milliseconds(now - slot.m_first_percent_at) / passed;
+    slot.m_stall_time = std::max(
+        slot.m_stall_time, usual_pause(milliseconds(static_cast<std::int64_t>(percent_ms * 100))));
+    if (passed < min_progress_percent) {
+        return;
+    }
+    const auto left = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(percent_ms * (100 - slot.m_percent)));
+    task.m_expected_end = now + left;
+    slot.m_estimate =
+        std::chrono::duration_cast<milliseconds>(task.m_expected_end - slot.m_ordered_at);
+    const submission_step& step = record.m_definition.m_steps[slot.m_task.m_step];
+    if (!slot.m_told && step.m_estimate > milliseconds(0)) {
+        slot.m_told = true;
+        add_task_ratio(record.m_run_times,
+                       percent_ms * 100 / static_cast<double>(step.m_estimate.count()));
+    }
+}
+
+/// Updates the worker's slowness and what is known of run times with a run that is done. Runs that
+/// are long-running or below full pace are ignored: their times say nothing about the estimate.
+void update_run_times(shard& state, worker_record& worker, submission_record& record,
+                      const run_slot& slot, time_point now)
+{
     const submission_step& step = record.m_definition.m_steps[slot.m_task.m_step];
+    if (slot.m_long_running || step.m_estimate <= milliseconds(0) || slot.m_pace < 100 ||
+        slot.m_partial) {
+        return;
+    }
     const double measured_ms = to_milliseconds(now - slot.m_ordered_at);
-    const double ratio = std::clamp(measured_ms / static_cast<double>(step.m_estimate.count()),
-                                    min_sample_ratio, max_sample_ratio);
-    const double expected_ms =
-        static_cast<double>(std::max(slot.m_estimate, milliseconds(1)).count());
+    const double estimate_ms = static_cast<double>(step.m_estimate.count());
+    const double ratio = measured_ms / estimate_ms;
+    const submission_run_times others =
+        slot.m_told ? without_ratio(record.m_run_times, ratio) : record.m_run_times;
+    const double expected_ms = estimate_ms * estimate_factor(run_times_of(state, record), others);
     const double slowness =
         std::clamp(measured_ms / expected_ms, min_sample_ratio, max_sample_ratio);
-    worker.m_slowness += slowness_weight * (slowness - worker.m_slowness);
-    duration_model& model = state.m_durations[record.m_queue];
-    ++model.m_samples;
-    const double weight = model.m_samples < warm_up_samples ? 1.0 / model.m_samples : ratio_weight;
-    model.m_ratio += weight * (ratio - model.m_ratio);
+    // A single run that takes long is a task of the tail; on a slow worker all do.
+    const double common = std::min(slowness, worker.m_last_slowness);
+    worker.m_slowness += slowness_weight * (common - worker.m_slowness);
+    worker.m_last_slowness = slowness;
+    learn_run_time(state, record, others, ratio);
+    if (!slot.m_told) {
+        add_task_ratio(record.m_run_times, ratio);
+    }
 }
 
 /// Adopts a run that a former owner started, or stops one that must not run.
@@ -104,6 +146,7 @@
     slot.m_phase = run_phase::running;
     slot.m_reported = true;
     slot.m_ordered_at = now;
+    slot.m_partial = true;
     slot.m_percent = reported.m_percent;
     slot.m_progress_at = now;
     const found_task found = find_or_create_task(state, reported.m_task);
@@ -118,6 +161,7 @@
         slot.m_image = step.m_image;
         slot.m_tail_latency_target_ms = step.m_tail_latency_target_ms;
         slot.m_estimate = expected_time(state, *found.m_record, step);
+        slot.m_stall_time = usual_pause(slot.m_estimate);
         if (step.m_uses_idle_cores) {
             slot.m_reserved.m_cpu_millis = 0;
         }
@@ -142,6 +186,8 @@
     set_phase(*found.m_occurrence, found.m_step, task, task_phase::placed);
     task.m_worker = &worker;
     task.m_run = reported.m_run;
+    task.m_started_at = now;
+    task.m_expected_end = now + added.m_estimate;
     task.m_checkpoint = reported.m_checkpoint;
     task.m_available = reported.m_percent >= 100;
     found.m_record->m_started = true;
@@ -165,7 +211,8 @@
         slot->m_phase = run_phase::running;
         slot->m_progress_at = now;
     }
-    if (reported.m_percent != slot->m_percent) {
+    const bool has_progressed = reported.m_percent != slot->m_percent;
+    if (has_progressed) {
         slot->m_percent = reported.m_percent;
         slot->m_progress_at = now;
     }
@@ -183,6 +230,9 @@
         }
         return;
     }
+    if (has_progressed) {
+        learn_from_progress(*found.m_record, *found.m_task, *slot, now);
+    }
     if (!reported.m_checkpoint.empty()) {
         found.m_task->m_checkpoint = reported.m_checkpoint;
     }
@@ -232,7 +282,7 @@
         worker.m_quarantine_time = milliseconds(0);
         worker.m_probing = false;
         if (slot != nullptr && found.m_record != nullptr) {
-            update_duration_model(state, worker, *found.m_record, *slot, now);
+            update_run_times(state, worker, *found.m_record, *slot, now);
         }
     }
     else {
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -17,6 +17,16 @@
 /// Contract of submissions whose queue is neither in the configuration nor in the log.
 const queue_contract default_contract{};
 
+/// A run's progress is reported in whole percents, so that a long run shows none for a while. It is
+/// not stalled before this share of its expected time has passed.
+constexpr double stalled_share_of_estimate = 0.03;
+
+/// Below this number of samples an organisation's run times are taken to be those of its queue.
+constexpr std::uint32_t min_organisation_samples = 20;
+
+/// Limit of the organisations of a queue whose run times are learned, which bounds the memory.
+constexpr std::size_t max_learned_organisations = 64;
+
 worker_record& add_worker(shard& state, const worker_listing& listing)
 {
     auto worker = std::make_unique<worker_record>();
@@ -157,13 +167,65 @@
     state.m_pending.m_entries.emplace_back(log_queue_contract{configured->second});
 }
 
+const run_time_model& run_times_of(const shard& state, const submission_record& record)
+{
+    static const run_time_model unknown;
+    const auto queue = state.m_run_times.find(record.m_queue);
+    if (queue == state.m_run_times.end()) {
+        return unknown;
+    }
+    const auto own = queue->second.m_by_organisation.find(record.m_organisation);
+    const bool suffices = own != queue->second.m_by_organisation.end() &&
+                          own->second.m_samples >= min_organisation_samples;
+    return suffices ? own->second : queue->second.m_all;
+}
+
 milliseconds expected_time(const shard& state, const submission_record& record,
                            const submission_step& step)
 {
-    const auto found = state.m_durations.find(record.m_queue);
-    const double ratio = found == state.m_durations.end() ? 1 : found->second.m_ratio;
+    const double factor = estimate_factor(run_times_of(state, record), record.m_run_times);
     return milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(step.m_estimate.count()) * ratio));
+        static_cast<std::int64_t>(static_cast<double>(step.m_estimate.count()) * factor));
+}
+
+milliseconds usual_pause(milliseconds estimate)
+{
+    return milliseconds(static_cast<std::int64_t>(stalled_share_of_estimate *
+                                                  static_cast<double>(estimate.count())));
+}
+
+void learn_run_time(shard& state, const submission_record& record,
+                    const submission_run_times& others, double ratio)
+{
+    std::uint32_t tasks = 0;
+    for (const submission_step& step : record.m_definition.m_steps) {
+        tasks += step.m_long_running ? 0 : step.m_task_count;
+    }
+    queue_run_times& queue = state.m_run_times[record.m_queue];
+    add_run(queue.m_all, others, ratio, tasks);
+    if (record.m_organisation.empty()) {
+        return;
+    }
+    const auto found = queue.m_by_organisation.find(record.m_organisation);
+    if (found != queue.m_by_organisation.end()) {
+        add_run(found->second, others, ratio, tasks);
+    }
+    else if (queue.m_by_organisation.size() < max_learned_organisations) {
+        add_run(queue.m_by_organisation[record.m_organisation], others, ratio, tasks);
+    }
+}
+
+time_point expected_end(const shard& state, const submission_record& record, milliseconds estimate,
+                        time_point started, time_point now)
+{
+    if (now - started < estimate || estimate <= milliseconds(0)) {
+        return started + estimate;
+    }
+    const double typical_ms = static_cast<double>(estimate.count());
+    const double total = expected_over_typical(run_times_of(state, record), record.m_run_times,
+                                               to_milliseconds(now - started) / typical_ms);
+    return started + std::chrono::duration_cast<duration>(
+                         std::chrono::duration<double, std::milli>(total * typical_ms));
 }
 
 std::uint32_t occurrence_count(const submission& what)
@@ -356,6 +418,7 @@
     worker.m_consecutive_failures = 0;
     worker.m_quarantined_until = {};
     worker.m_slowness = 1;
+    worker.m_last_slowness = 1;
     worker.m_draining_since = {};
     worker.m_cordoned = false;
     worker.m_incarnation_start_ms = start_ms;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
+#include "schedule/run_times.h"
 #include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
@@ -54,6 +55,8 @@
     std::string m_checkpoint;
     worker_id m_failed_on;             ///< Worker of the last failure.
     time_point m_not_before{};         ///< Earliest next start; spaces retries.
+    time_point m_started_at{};         ///< While it is placed: when its run was ordered.
+    time_point m_expected_end{};       ///< While it is placed: when its run should end.
     bool m_available = false;          ///< Long-running tasks: it reported 100 percent.
     bool m_moved_by_scheduler = false; ///< Unavailable because the scheduler ordered a move.
 };
@@ -101,6 +104,7 @@
     submission_state m_final = submission_state::succeeded;
     std::int64_t m_closed_ms = 0;                      ///< Unix time.
     submission_tier m_tier = submission_tier::on_time; ///< At the last ranking.
+    submission_run_times m_run_times;                  ///< What its own tasks have told.
     double m_remaining_core_ms = 0;            ///< Core-milliseconds, by corrected estimates.
     milliseconds m_remaining_critical_path{0}; ///< By corrected estimates.
     std::vector<occurrence_state> m_occurrences;
@@ -137,8 +141,14 @@
     std::int64_t m_load = 0;      ///< As reported: tail in milliseconds or cores in use.
     std::int32_t m_pace = 100;    ///< Percent of full speed.
     std::int32_t m_requested_pace = 100;
-    time_point m_pace_at{}; ///< When the pace last changed.
-    milliseconds m_estimate{0};
+    time_point m_pace_at{};     ///< When the pace last changed.
+    milliseconds m_estimate{0}; ///< Of its run time, corrected by its progress.
+    bool m_told = false;        ///< Its submission has learned from its progress.
+    bool m_partial = false;     ///< Its time tells nothing: it was adopted from a former owner, or
+                                ///< resumed from a checkpoint.
+    std::int32_t m_first_percent = -1; ///< Progress in its first report; -1 before that.
+    time_point m_first_percent_at{};
+    milliseconds m_stall_time{0}; ///< Longest time without progress that is usual for it.
     std::string m_image;
     std::int64_t m_tail_latency_target_ms = 0; ///< Zero for a task that serves no requests.
     bool m_uses_idle_cores = false;  ///< It reserves no cores; its pace yields to serving tasks.
@@ -179,6 +189,7 @@
     milliseconds m_quarantine_time{0}; ///< Length of the last quarantine; grows with each.
     bool m_probing = false;            ///< One task tests the worker after its quarantine.
     double m_slowness = 1;             ///< Smoothed ratio of run times to expected run times.
+    double m_last_slowness = 1;        ///< That ratio of the last run.
     bool m_cordoned = false;           ///< Gets no start, because of upkeep or a move.
     bool m_upkeep_due = false; ///< To be cordoned later; long-running tasks leave if they can.
     time_point m_cordoned_since{};
@@ -212,10 +223,10 @@
     std::set<worker_id> m_denied; ///< Workers that may not run the step as long as it exists.
 };
 
-/// Learned ratio of run time to estimate for the tasks of a queue.
-struct duration_model {
-    double m_ratio = 1;
-    std::uint32_t m_samples = 0;
+/// Run times of a queue's tasks.
+struct queue_run_times {
+    run_time_model m_all;
+    std::map<organisation_id, run_time_model> m_by_organisation;
 };
 
 /// Arriving work as two exponentially decaying sums with different time constants.
@@ -283,7 +294,7 @@
     std::set<worker_id> m_awaited_workers; ///< Workers that may still run a former owner's tasks.
     time_point m_awaited_until{}; ///< When the leases of these workers have ended for certain.
     arrival_rate m_arrivals;
-    std::map<queue_id, duration_model> m_durations;
+    std::map<queue_id, queue_run_times> m_run_times;
     std::map<std::string, image_pair_model> m_image_pairs;
     std::map<task_name, step_advice> m_advice; ///< By step: task names with index zero.
     bool m_advice_pending = false;             ///< A request to the advice service is in flight.
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -34,11 +34,29 @@
 /// Adds the contract of a configured queue to the log, unless the log has the same one.
 void log_contract(shard& state, const queue_id& queue);
 
-/// Expected run time of a step's task on a healthy worker near its data: the estimate times the
-/// learned ratio of the queue.
+/// What has been learned about the run times of a submission's queue, or of its organisation's
+/// submissions in that queue once these suffice.
+const run_time_model& run_times_of(const shard& state, const submission_record& record);
+
+/// Expected run time of a step's task on a healthy worker near its data: the estimate, corrected by
+/// what is known of the queue and of the submission. Typical; a few tasks take much longer.
 milliseconds expected_time(const shard& state, const submission_record& record,
                            const submission_step& step);
 
+/// Time without progress that is usual for a run which is expected to take `estimate`, given that
+/// progress is reported in whole percents.
+milliseconds usual_pause(milliseconds estimate);
+
+/// Adds a task's ratio of run time to estimate to what is known of its queue; `others` is what the
+/// other tasks of its submission have told.
+void learn_run_time(shard& state, const submission_record& record,
+                    const submission_run_times& others, double ratio);
+
+/// When a run that was ordered at `started` and is expected to take `estimate` should end. The
+/// longer it has exceeded that, the later.
+time_point expected_end(const shard& state, const submission_record& record, milliseconds estimate,
+                        time_point started, time_point now);
+
 /// Creates the tasks of an occurrence and makes the tasks of its first steps ready.
 void create_occurrence(submission_record& record, std::uint32_t number);
 
