Test run times of organisations and of a new owner

An organisation uses the queue's run times until it has 20 samples, and a new owner, which adopts runs of unknown start, is back at the true factor of 3 after 3 s of load.

--- a/tests/schedule/run_times_test.cpp
+++ b/tests/schedule/run_times_test.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "schedule/run_times.h"
+#include "schedule/shard_steps.h"
 #include "support/virtual_pool.h"
 
 namespace guavabay {
@@ -313,6 +314,68 @@
     CHECK(estimate_factor(model, times) < 1.2);
 }
 
+// Guards against an organisation with wrong estimates that spoils the expectations of the others,
+// against one that is judged by few samples of its own, and against memory that grows with names.
+TEST_CASE("organisations have run times of their own once these suffice", "[run_times]")
+{
+    shard state;
+    submission_record record;
+    record.m_queue = queue_id("q");
+    record.m_definition = make_submission({1}, task_size, milliseconds(500));
+    record.m_run_times = untold(500);
+    const auto learn = [&](const std::string& organisation, double ratio, int times) {
+        record.m_organisation = organisation_id(organisation);
+        for (int i = 0; i < times; ++i) {
+            learn_run_time(state, record, record.m_run_times, ratio);
+        }
+    };
+    const auto expected = [&](const std::string& organisation) {
+        record.m_organisation = organisation_id(organisation);
+        return to_milliseconds(expected_time(state, record, record.m_definition.m_steps[0]));
+    };
+    learn("right", 1, 400);
+    learn("few", 3, 5);
+    CHECK(expected("few") < 700);
+    learn("few", 3, 20);
+    CHECK(expected("few") == Approx(1500).epsilon(0.1));
+    CHECK(expected("right") == Approx(500).epsilon(0.1));
+    for (int i = 0; i < 200; ++i) {
+        learn("o" + std::to_string(i), 1, 1);
+    }
+    CHECK(state.m_run_times.at(record.m_queue).m_by_organisation.size() <= 64);
+}
+
+// Guards against a new owner that takes the runs which it adopts for short ones, and against one
+// that plans by declared estimates for long: it knows nothing of what the former owner learned.
+TEST_CASE("a new owner learns the run times again within seconds", "[run_times]")
+{
+    virtual_pool pool(worker_count, worker_size, 5);
+    pool.m_true_time_ms = [](const task_name&) { return 900.0; };
+    pool.run_for(milliseconds(200));
+    int number = 0;
+    const auto offer = [&](milliseconds length) {
+        for (milliseconds passed{0}; passed < length; passed += milliseconds(100)) {
+            pool.submit("a" + std::to_string(number++),
+                        make_submission({2}, task_size, milliseconds(300)));
+            pool.run_for(milliseconds(100));
+        }
+    };
+    const auto factor = [&] {
+        const shard& state = pool.current_owner().m_shard;
+        const auto found = state.m_run_times.find(queue_id("q"));
+        return found == state.m_run_times.end() ? 1
+                                                : estimate_factor(found->second.m_all, untold(300));
+    };
+    offer(milliseconds(5000));
+    CHECK(factor() == Approx(3).epsilon(0.15));
+    pool.current_owner().m_alive = false;
+    pool.change_owner();
+    CHECK(factor() == 1);
+    offer(milliseconds(3000));
+    CHECK(factor() == Approx(3).epsilon(0.15));
+    CHECK(pool.violations().empty());
+}
+
 // Guards against a worker that gets no tasks because one of them was of the tail or under-declared,
 // and against a slow worker that is not found.
 TEST_CASE("tasks of the tail don't make their worker look slow", "[run_times]")
