--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -21,7 +21,7 @@
 
 /// The same for submissions beyond their organisation's rate. They leave a margin, since a plan
 /// that is full delays what arrives next by as much as its deadline allows.
-constexpr double plannable_excess_share = 0.35;
+constexpr double plannable_excess_share = 0.25;
 
 /// A submission with a task that needs most of a worker is put before the others once none of its
 /// tasks has started for this long: smaller tasks that rank higher take each room that runs leave.
@@ -158,12 +158,19 @@
     return largest->m_remaining.m_waiting_core_ms;
 }
 
-/// Planned work of an organisation for its weight, without its largest submission: a single open
-/// submission of a small organisation does not count as more than its share.
-double planned_level(const planned_share& share)
+/// The submission of an organisation that is demoted next, one beyond its rate first.
+const ranked_submission& next_demoted(const planned_share& share)
 {
-    const largest_first& from = share.m_excess.empty() ? share.m_guaranteed : share.m_excess;
-    return (share.m_fair_work - from.top()->m_fair_work) / share.m_weight;
+    return *(share.m_excess.empty() ? share.m_guaranteed : share.m_excess).top();
+}
+
+/// Planned work of an organisation for its weight, without the submission that is demoted next: a
+/// single open submission of a small organisation does not count as more than its share. Among
+/// equal ones, as among organisations with a single submission, the largest submission goes first.
+std::pair<double, double> planned_level(const planned_share& share)
+{
+    const double next = next_demoted(share).m_fair_work;
+    return {(share.m_fair_work - next) / share.m_weight, next};
 }
 
 /// The organisation with the highest planned level, of those with submissions beyond their rate if
@@ -171,14 +178,14 @@
 planned_share* find_largest_share(std::vector<planned_share>& shares)
 {
     planned_share* largest = nullptr;
-    double level = 0;
+    std::pair<double, double> level;
     bool is_excess = false;
     for (planned_share& share : shares) {
         const bool has_excess = !share.m_excess.empty();
         if ((is_excess && !has_excess) || !has_planned_work(share)) {
             continue;
         }
-        const double own_level = planned_level(share);
+        const std::pair own_level = planned_level(share);
         if (largest == nullptr || has_excess != is_excess || own_level > level) {
             largest = &share;
             level = own_level;
