Let a burst of a large organisation count as excess sooner

Cause: a bucket of 4 s let the largest organisation's burst count as guaranteed for a second. Change: the bucket holds 0.5 s and 8 submissions.

--- a/src/schedule/organisation_accounts.cpp
+++ b/src/schedule/organisation_accounts.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-/// Capacity of a bucket, as a time at the organisation's rate and as a least number, so that uneven
-/// arrivals of a small organisation don't count as excess.
-constexpr double bucket_seconds = 4;
-constexpr double min_bucket_tokens = 8;
+/// Capacity of a bucket: a time at the organisation's rate and a number of submissions, so that
+/// uneven arrivals of a small organisation don't count as excess. A longer time would let a burst
+/// of a large one count as guaranteed for about a second.
+constexpr double bucket_seconds = 0.5;
+constexpr double bucket_base_tokens = 8;
 
 /// Limit of organisations that have metrics of their own.
 constexpr std::size_t max_listed_organisations = 32;
@@ -43,7 +44,7 @@
 
 double bucket_size(const organisation_account& account)
 {
-    return std::max(min_bucket_tokens, account.m_weight * bucket_seconds);
+    return bucket_base_tokens + account.m_weight * bucket_seconds;
 }
 
 void add_counts(organisation_counts& sum, const organisation_counts& added)
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -21,7 +21,7 @@
 
 /// The same for submissions beyond their organisation's rate. They leave a margin, since a plan
 /// that is full delays what arrives next by as much as its deadline allows.
-constexpr double plannable_excess_share = 0.25;
+constexpr double plannable_excess_share = 0.35;
 
 /// A submission with a task that needs most of a worker is put before the others once none of its
 /// tasks has started for this long: smaller tasks that rank higher take each room that runs leave.
