Let the limit for stalled runs fall again with the progress of the run

The limit was only raised: a short standstill after the first percent would have delayed the detection of a later one for the rest of the run. It follows the mean time of a percent now. Tests [run_times], [load], [schedule], [inherited_work], [gang] and [reserved_workers] pass.

--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -90,8 +90,8 @@
         return;
     }
     const double percent_ms = to_milliseconds(now - slot.m_first_percent_at) / passed;
-    slot.m_stall_time = std::max(
-        slot.m_stall_time, usual_pause(milliseconds(static_cast<std::int64_t>(percent_ms * 100))));
+    // Replaced, not only raised: after a short standstill the limit falls again.
+    slot.m_stall_time = usual_pause(milliseconds(static_cast<std::int64_t>(percent_ms * 100)));
     if (passed < min_progress_percent) {
         return;
     }
