Decide by expected gain how long a task waits for the rack of its data

A task that names a rack waited there for a fixed multiple of its run time since its arrival, whether or not room was to be expected, and only in its submission's first step; a group with `same-rack` waited without end when no rack could hold it. Runs away from their data also raised the queue's learned ratio and their workers' slowness.

src/schedule/locality.* decides from the expected time until room (ends of runs by progress, learned overruns or today's estimate; bookings of work that ranks higher; past waits), the slack, and the prices of idle cores and longer runs. place_waits.* applies it. Work that names no place isn't asked about. The virtual pool now slows runs away from their data and groups across racks.

The reservation test of tasks that wait for their rack runs with a factor of 3, since a wait of 60 s for a gain of 30 s no longer happens.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -660,6 +660,21 @@
         line("guavabay_tasks_examined_total" + labels, static_cast<double>(state.m_tasks_examined));
         line("guavabay_ends_done_total" + labels, static_cast<double>(state.m_ends_done));
         line("guavabay_ends_other_total" + labels, static_cast<double>(state.m_ends_other));
+        const locality_counts& places = state.m_locality.m_counts;
+        line("guavabay_locality_waits_paid_total" + labels,
+             static_cast<double>(places.m_waits_paid));
+        line("guavabay_locality_waits_unpaid_total" + labels,
+             static_cast<double>(places.m_waits_unpaid));
+        line("guavabay_locality_waiting" + labels,
+             static_cast<double>(state.m_locality.m_waits.size()));
+        line("guavabay_locality_wait_seconds_total" + labels, places.m_wait_seconds);
+        line("guavabay_locality_declined_core_seconds_total" + labels, places.m_idle_core_seconds);
+        line("guavabay_locality_starts_at_place_total" + labels,
+             static_cast<double>(places.m_starts_at_place));
+        line("guavabay_locality_starts_elsewhere_total" + labels,
+             static_cast<double>(places.m_starts_elsewhere));
+        line("guavabay_locality_unlogged_waits_total" + labels,
+             static_cast<double>(places.m_unlogged_waits));
         line("guavabay_machines_needed" + labels, machines_needed(state, now));
         text += format_cancellation_metrics(state, now);
     }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/place_waits.h"
 #include "schedule/worker_choice.h"
 
 namespace guavabay {
@@ -53,7 +54,9 @@
     slot.m_order_pending = true;
     slot.m_ordered_at = now;
     slot.m_progress_at = now;
-    slot.m_estimate = request.m_expected_duration;
+    slot.m_estimate = milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(request.m_expected_duration.count()) * request.m_place_factor));
+    slot.m_place_factor = request.m_place_factor;
     slot.m_image = request.m_step->m_image;
     slot.m_tail_latency_target_ms = request.m_step->m_tail_latency_target_ms;
     slot.m_uses_idle_cores = request.m_step->m_uses_idle_cores;
@@ -111,59 +114,122 @@
     });
 }
 
-/// Starts all tasks of a gang together, in one rack if the step requires it, or none of them.
+/// Chooses workers for all tasks of a gang, as positions among the candidates; empty if it does not
+/// fit as a whole. An empty `rack` admits all racks.
+std::vector<std::ptrdiff_t> choose_gang_workers(shard& state, const candidate_workers& candidates,
+                                                submission_record& record, const task_name& first,
+                                                const std::string& rack, time_point now)
+{
+    const std::vector<scheduled_task>& tasks =
+        record.m_occurrences[first.m_occurrence].m_steps[first.m_step];
+    // A gang that does not fit as a whole takes no resources.
+    candidate_workers trial = candidates;
+    std::vector<std::ptrdiff_t> chosen;
+    task_name name = first;
+    for (; name.m_index < tasks.size(); ++name.m_index) {
+        const placement_request request =
+            make_placement_request(state, record, name, tasks[name.m_index]);
+        candidate_worker* candidate = choose_worker(state, trial, request, rack, now);
+        if (candidate == nullptr) {
+            return {};
+        }
+        candidate->m_free = candidate->m_free - request.m_demand;
+        chosen.push_back(candidate - trial.m_workers.data());
+    }
+    return chosen;
+}
+
+/// Starts all tasks of a gang on the workers that were chosen for them.
+void start_gang_on(shard& state, candidate_workers& candidates, submission_record& record,
+                   const task_name& first, const std::vector<std::ptrdiff_t>& chosen,
+                   double place_factor, time_point now)
+{
+    std::vector<scheduled_task>& tasks =
+        record.m_occurrences[first.m_occurrence].m_steps[first.m_step];
+    const run_number run = allocate_run_number(state);
+    std::string checkpoint;
+    for (const scheduled_task& task : tasks) {
+        checkpoint = std::max(checkpoint, task.m_checkpoint);
+    }
+    task_name name = first;
+    for (; name.m_index < tasks.size(); ++name.m_index) {
+        scheduled_task& task = tasks[name.m_index];
+        task.m_checkpoint = checkpoint;
+        placement_request request = make_placement_request(state, record, name, task);
+        request.m_place_factor = place_factor;
+        start_run(state, request, task,
+                  candidates.m_workers[static_cast<std::size_t>(chosen[name.m_index])], run, now);
+    }
+}
+
+/// All racks of the pool's workers.
+std::vector<std::string> find_racks(const shard& state)
+{
+    std::vector<std::string> racks;
+    for (const auto& [id, worker] : state.m_workers) {
+        const std::string& rack = worker->m_info.m_rack.str();
+        if (std::find(racks.begin(), racks.end(), rack) == racks.end()) {
+            racks.push_back(rack);
+        }
+    }
+    return racks;
+}
+
+/// The racks in which a gang runs at full speed; a single empty one if it names no place.
+std::vector<std::string> places_of_gang(const shard& state, const submission_step& step)
+{
+    if (!step.m_data_rack.empty()) {
+        return {step.m_data_rack};
+    }
+    return step.m_same_rack ? find_racks(state) : std::vector<std::string>{""};
+}
+
+/// Starts all tasks of a gang together or none of them: at a place where they run at full speed, or
+/// else anywhere, unless the wait for such a place pays.
 void start_gang(shard& state, candidate_workers& candidates, submission_record& record,
                 std::uint32_t occurrence, std::uint32_t step_index, time_point now)
 {
-    std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
+    const std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
     const submission_step& step = record.m_definition.m_steps[step_index];
     if (!std::all_of(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
             return is_startable(state, record, task, now);
         })) {
         return;
     }
-    std::vector<std::string> candidate_racks{""};
-    if (step.m_same_rack) {
-        candidate_racks.clear();
-        for (const auto& [id, worker] : state.m_workers) {
-            const std::string& rack = worker->m_info.m_rack.str();
-            if (std::find(candidate_racks.begin(), candidate_racks.end(), rack) ==
-                candidate_racks.end()) {
-                candidate_racks.push_back(rack);
+    const task_name first{record.m_id, occurrence, step_index, 0};
+    const bool names_place = step.m_same_rack || !step.m_data_rack.empty();
+    const std::vector<std::string> places = places_of_gang(state, step);
+    for (const std::string& place : places) {
+        const auto chosen = choose_gang_workers(state, candidates, record, first, place, now);
+        if (!chosen.empty()) {
+            start_gang_on(state, candidates, record, first, chosen, 1, now);
+            if (names_place) {
+                note_place_start(state, first, true, now);
             }
+            return;
         }
     }
-    for (const std::string& rack : candidate_racks) {
-        // A gang that does not fit as a whole takes no resources.
-        candidate_workers trial = candidates;
-        std::vector<std::ptrdiff_t> chosen; ///< Positions among the candidates.
-        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-            const placement_request request = make_placement_request(
-                state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            candidate_worker* candidate = choose_worker(state, trial, request, rack, now);
-            if (candidate == nullptr) {
-                break;
-            }
-            candidate->m_free = candidate->m_free - request.m_demand;
-            chosen.push_back(candidate - trial.m_workers.data());
-        }
-        if (chosen.size() < tasks.size()) {
-            continue;
-        }
-        const run_number run = allocate_run_number(state);
-        std::string checkpoint;
-        for (const scheduled_task& task : tasks) {
-            checkpoint = std::max(checkpoint, task.m_checkpoint);
-        }
-        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-            tasks[i].m_checkpoint = checkpoint;
-            const placement_request request = make_placement_request(
-                state, record, {record.m_id, occurrence, step_index, i}, tasks[i]);
-            start_run(state, request, tasks[i],
-                      candidates.m_workers[static_cast<std::size_t>(chosen[i])], run, now);
+    if (!names_place) {
+        return;
+    }
+    std::vector<std::ptrdiff_t> chosen;
+    if (step.m_same_rack && !step.m_data_rack.empty()) {
+        // Away from its data it still runs in one rack if it can.
+        for (const std::string& rack : find_racks(state)) {
+            chosen = chosen.empty()
+                         ? choose_gang_workers(state, candidates, record, first, rack, now)
+                         : chosen;
         }
+    }
+    if (chosen.empty()) {
+        chosen = choose_gang_workers(state, candidates, record, first, "", now);
+    }
+    const placement_request request = make_placement_request(state, record, first, tasks.front());
+    if (chosen.empty() || gang_waits(state, candidates, request, places, now)) {
         return;
     }
+    start_gang_on(state, candidates, record, first, chosen, state.m_bounds.m_remote_factor, now);
+    note_place_start(state, first, false, now);
 }
 
 /// Logs, once per submission, that a task has found no worker for a while although most of the pool
@@ -214,6 +280,7 @@
                     start_gang(state, candidates, *record, occurrence_index, step_index, now);
                     continue;
                 }
+                bool has_reserved = false;
                 for (std::uint32_t i = 0; i < occurrence.m_steps[step_index].size(); ++i) {
                     scheduled_task& task = occurrence.m_steps[step_index][i];
                     ++state.m_tasks_examined;
@@ -222,30 +289,38 @@
                     }
                     placement_request request = make_placement_request(
                         state, *record, {record->m_id, occurrence_index, step_index, i}, task);
-                    request.m_avoids_upkeep = request.m_step->m_long_running;
-                    candidate_worker* worker = choose_worker(state, candidates, request, "", now);
-                    if (worker == nullptr && request.m_avoids_upkeep) {
-                        request.m_avoids_upkeep = false;
-                        worker = choose_worker(state, candidates, request, "", now);
-                    }
-                    if (worker == nullptr) {
-                        worker = choose_reserved_worker(state, candidates, request, now);
-                        state.m_starts_on_reserved += worker != nullptr ? 1 : 0;
-                    }
+                    const placement_choice choice =
+                        choose_placement(state, candidates, request, now);
+                    candidate_worker* worker = choice.m_worker;
+                    state.m_starts_on_reserved += choice.m_is_reserved ? 1 : 0;
                     if (worker != nullptr) {
                         start_run(state, request, task, *worker, allocate_run_number(state), now);
+                        if (!request.m_step->m_data_rack.empty()) {
+                            note_place_start(state, request.m_name, request.m_place_factor == 1,
+                                             now);
+                        }
                         if (is_starving) {
                             put_back = record;
                             break;
                         }
                         continue;
                     }
-                    state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
                     // A task that waits for its ticket reserves no worker.
-                    if (!request.m_needs_ticket) {
-                        reserve_worker(state, candidates, request, now);
+                    if (!request.m_needs_ticket && !has_reserved) {
+                        reserve_worker(state, candidates, request,
+                                       choice.m_waits ? request.m_step->m_data_rack : "", now);
+                        has_reserved = true;
                     }
                     note_waiting_task(state, candidates, request, now);
+                    if (choice.m_waits) {
+                        // The wait of the step's next task is longer and may not pay.
+                        continue;
+                    }
+                    state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
+                    if (!request.m_step->m_data_rack.empty()) {
+                        book_waiting_tasks(state, candidates, request, request.m_step->m_data_rack,
+                                           occurrence.m_ready_tasks[step_index], now);
+                    }
                     break;
                 }
             }
@@ -429,6 +504,7 @@
         adjust_paces(state, now);
     }
     erase_expired_submissions(state, now, wall);
+    forget_ended_waits(state, now);
 }
 
 } // namespace guavabay
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/place_waits.h"
 #include "schedule/shard_steps.h"
 
 namespace guavabay {
@@ -81,12 +82,14 @@
     }
     const submission_step& step = record.m_definition.m_steps[slot.m_task.m_step];
     const double measured_ms = to_milliseconds(now - slot.m_ordered_at);
-    const double ratio = std::clamp(measured_ms / static_cast<double>(step.m_estimate.count()),
+    const double near_ms = measured_ms / slot.m_place_factor; ///< Near its data.
+    const double ratio = std::clamp(near_ms / static_cast<double>(step.m_estimate.count()),
                                     min_sample_ratio, max_sample_ratio);
     const double expected_ms =
         static_cast<double>(std::max(slot.m_estimate, milliseconds(1)).count());
     const double slowness =
         std::clamp(measured_ms / expected_ms, min_sample_ratio, max_sample_ratio);
+    note_run_ratio(state, measured_ms / expected_ms);
     worker.m_slowness += slowness_weight * (slowness - worker.m_slowness);
     duration_model& model = state.m_durations[record.m_queue];
     ++model.m_samples;
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
+#include "schedule/locality_state.h"
 #include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
@@ -139,6 +140,7 @@
     std::int32_t m_requested_pace = 100;
     time_point m_pace_at{}; ///< When the pace last changed.
     milliseconds m_estimate{0};
+    double m_place_factor = 1; ///< Slow-down of its place; the estimate includes it.
     std::string m_image;
     std::int64_t m_tail_latency_target_ms = 0; ///< Zero for a task that serves no requests.
     bool m_uses_idle_cores = false;  ///< It reserves no cores; its pace yields to serving tasks.
@@ -303,6 +305,7 @@
     std::uint64_t m_ends_done = 0;              ///< Metric: runs that ended successfully.
     std::uint64_t m_ends_other = 0;             ///< Metric: runs that ended otherwise.
     cancellation_counts m_cancellations;
+    locality_state m_locality;   ///< About tasks and gangs that run faster at some place.
     bool m_ranking_stale = true; ///< Submissions have changed since the last ranking.
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
--- a/src/schedule/worker_choice.cpp
+++ b/src/schedule/worker_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/place_waits.h"
 
 namespace guavabay {
 
@@ -51,14 +52,6 @@
     return count;
 }
 
-/// True when a worker of the rack accepts starts.
-bool rack_has_available_worker(const shard& state, const std::string& rack, time_point now)
-{
-    return std::any_of(state.m_workers.begin(), state.m_workers.end(), [&](const auto& entry) {
-        return entry.second->m_info.m_rack.str() == rack && accepts_starts(*entry.second, now);
-    });
-}
-
 /// Counts the tasks of a request's step and occurrence that are placed in a worker's rack.
 std::uint32_t count_step_tasks_in_rack(const placement_request& request,
                                        const worker_record& worker)
@@ -89,27 +82,6 @@
                        [&](const resources& unplaceable) { return fits(unplaceable, demand); });
 }
 
-/// Checks upkeep, the required label and the limit of tasks per worker.
-bool satisfies_constraints(const worker_record& worker, const placement_request& request)
-{
-    const submission_step& step = *request.m_step;
-    return !(request.m_avoids_upkeep && worker.m_upkeep_due) &&
-           (step.m_required_label.empty() || has_label(worker.m_info, step.m_required_label)) &&
-           (step.m_max_per_worker == 0 ||
-            count_step_runs(worker, request.m_name) < step.m_max_per_worker);
-}
-
-/// True when a task still waits for a worker in the rack of its data, because a run elsewhere would
-/// take longer than the wait.
-bool waits_for_data_rack(const shard& state, const placement_request& request, time_point now)
-{
-    const std::string& rack = request.m_step->m_data_rack;
-    return !rack.empty() && rack_has_available_worker(state, rack, now) &&
-           now - request.m_record->m_arrived <
-               std::chrono::duration_cast<duration>(request.m_expected_duration *
-                                                    (state.m_bounds.m_remote_factor - 1));
-}
-
 /// Expected time until a run ends; empty for a long-running one that is not being stopped. The
 /// longer a run has exceeded its estimate, the later it is expected to end.
 std::optional<duration> remaining_time(const shard& state, const run_slot& slot, time_point now)
@@ -196,8 +168,23 @@
     return cost;
 }
 
+/// True when a worker is in a rack, or no rack is required.
+bool is_in_rack(const worker_record& worker, const std::string& required_rack)
+{
+    return required_rack.empty() || worker.m_info.m_rack.str() == required_rack;
+}
+
 } // namespace
 
+bool satisfies_constraints(const worker_record& worker, const placement_request& request)
+{
+    const submission_step& step = *request.m_step;
+    return !(request.m_avoids_upkeep && worker.m_upkeep_due) &&
+           (step.m_required_label.empty() || has_label(worker.m_info, step.m_required_label)) &&
+           (step.m_max_per_worker == 0 ||
+            count_step_runs(worker, request.m_name) < step.m_max_per_worker);
+}
+
 candidate_workers find_candidate_workers(shard& state, time_point now)
 {
     candidate_workers candidates;
@@ -232,8 +219,6 @@
     candidate_worker* best = nullptr;
     double best_cost = 0;
     bool any_fits = false;
-    const submission_step& step = *request.m_step;
-    const bool waits_for_rack = waits_for_data_rack(state, request, now);
     state.m_candidates += candidates.m_workers.size();
     for (candidate_worker& candidate : candidates.m_workers) {
         if (!fits(request.m_demand, candidate.m_free)) {
@@ -244,8 +229,7 @@
         if (!satisfies_constraints(worker, request) || !has_ticket(state, worker, request, now)) {
             continue;
         }
-        if ((waits_for_rack && worker.m_info.m_rack.str() != step.m_data_rack) ||
-            (!required_rack.empty() && worker.m_info.m_rack.str() != required_rack)) {
+        if (!is_in_rack(worker, required_rack)) {
             continue;
         }
         const double cost = placement_cost(state, candidate, request);
@@ -261,7 +245,8 @@
 }
 
 bool reserve_worker(const shard& state, candidate_workers& candidates,
-                    const placement_request& request, time_point now)
+                    const placement_request& request, const std::string& required_rack,
+                    time_point now)
 {
     if (candidates.m_reserved.size() >= candidates.m_max_reserved) {
         return false;
@@ -269,12 +254,11 @@
     if (!candidates.m_has_rooms) {
         find_rooms(state, candidates, now);
     }
-    const bool waits_for_rack = waits_for_data_rack(state, request, now);
     auto best = candidates.m_workers.end();
     for (auto it = candidates.m_workers.begin(); it != candidates.m_workers.end(); ++it) {
         const worker_record& worker = *it->m_worker;
         if (fits(request.m_demand, it->m_room) && satisfies_constraints(worker, request) &&
-            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack) &&
+            is_in_rack(worker, required_rack) &&
             (best == candidates.m_workers.end() ||
              it->m_free.m_cpu_millis > best->m_free.m_cpu_millis)) {
             best = it;
@@ -289,14 +273,14 @@
 }
 
 candidate_worker* choose_reserved_worker(const shard& state, candidate_workers& candidates,
-                                         const placement_request& request, time_point now)
+                                         const placement_request& request,
+                                         const std::string& required_rack, time_point now)
 {
     const bool is_long_running = request.m_step->m_long_running;
     const time_point ready_since =
         std::max(request.m_task->m_not_before, request.m_record->m_arrived);
     const bool has_waited = now - ready_since >= max_reservation_wait &&
                             (is_long_running || now - state.m_half_used_at >= max_reservation_wait);
-    const bool waits_for_rack = waits_for_data_rack(state, request, now);
     for (reserved_worker& reserved : candidates.m_reserved) {
         const worker_record& worker = *reserved.m_candidate.m_worker;
         const bool ends_before = !is_long_running && now + std::chrono::duration_cast<duration>(
@@ -305,13 +289,42 @@
                                                          reserved.m_until;
         if ((ends_before || has_waited) && fits(request.m_demand, reserved.m_candidate.m_free) &&
             satisfies_constraints(worker, request) && has_ticket(state, worker, request, now) &&
-            (!waits_for_rack || worker.m_info.m_rack.str() == request.m_step->m_data_rack)) {
+            is_in_rack(worker, required_rack)) {
             return &reserved.m_candidate;
         }
     }
     return nullptr;
 }
 
+placement_choice choose_placement(shard& state, candidate_workers& candidates,
+                                  placement_request& request, time_point now)
+{
+    placement_choice choice;
+    request.m_avoids_upkeep = request.m_step->m_long_running;
+    choice.m_worker = choose_worker(state, candidates, request, "", now);
+    if (choice.m_worker == nullptr && request.m_avoids_upkeep) {
+        request.m_avoids_upkeep = false;
+        choice.m_worker = choose_worker(state, candidates, request, "", now);
+    }
+    const std::string& rack = request.m_step->m_data_rack;
+    if (choice.m_worker != nullptr && !is_in_rack(*choice.m_worker->m_worker, rack)) {
+        // A worker in the rack that costs more than one elsewhere is no reason to wait.
+        choice.m_waits =
+            choose_worker(state, candidates, request, rack, now) == nullptr &&
+            waits_for_data_rack(state, candidates, request, *choice.m_worker->m_worker, now);
+        choice.m_worker = choice.m_waits ? nullptr : choice.m_worker;
+    }
+    if (choice.m_worker == nullptr) {
+        choice.m_worker =
+            choose_reserved_worker(state, candidates, request, choice.m_waits ? rack : "", now);
+        choice.m_is_reserved = choice.m_worker != nullptr;
+    }
+    if (choice.m_worker != nullptr) {
+        request.m_place_factor = place_factor(state, *request.m_step, *choice.m_worker->m_worker);
+    }
+    return choice;
+}
+
 placement_request make_placement_request(const shard& state, submission_record& record,
                                          const task_name& name, const scheduled_task& task)
 {
--- a/tests/schedule/reserved_workers_test.cpp
+++ b/tests/schedule/reserved_workers_test.cpp
@@ -122,7 +122,8 @@
 TEST_CASE("tasks that wait for the rack of their data hold back no other rack",
           "[reserved_workers]")
 {
-    patient_pool pool(5, 72); // Four workers in one rack, one in the other.
+    patient_pool pool(5, 72);  // Four workers in one rack, one in the other.
+    pool.set_remote_factor(3); // So that a wait for the base task's end pays.
     submission base = make_submission({1}, {14000, 1000, 0}, seconds(60));
     base.m_steps[0].m_data_rack = "r1";
     accept(pool, "base", base);
--- a/tests/support/virtual_pool.h
+++ b/tests/support/virtual_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -14,8 +15,9 @@
 /// A run on a virtual worker.
 struct virtual_run {
     time_point m_started{};
-    double m_done_ms = 0;  ///< Progress in milliseconds at full speed.
-    double m_total_ms = 0; ///< Run time at full speed; negative for a long-running one.
+    double m_done_ms = 0;   ///< Progress in milliseconds at full speed.
+    double m_total_ms = 0;  ///< Run time at full speed; negative for a long-running one.
+    double m_slow_down = 1; ///< Because of its place.
     bool m_fails = false;
     bool m_started_late = false; ///< Its start order got no answer and was executed late.
     time_point m_stop_at{};      ///< When a stop order takes effect; zero if there is none.
@@ -54,6 +56,7 @@
     double m_total_ms = 0;   ///< Run time of each member at full speed.
     bool m_complete = false; ///< All members have started.
     bool m_broken = false;   ///< A member has ended without success.
+    double m_slow_down = 1;  ///< Because of the places of its members.
 };
 
 /// An order in transit that the worker executes at a later moment.
@@ -139,6 +142,13 @@
     /// The Unix time at the current virtual time.
     [[nodiscard]] wall_time wall() const;
 
+    /// Sets the slow-down of runs away from the rack of their data and of gangs that need one rack
+    /// and are spread over several; the owners know it.
+    void set_remote_factor(double factor);
+
+    /// The true time until a task's present run ends; zero if it has none.
+    [[nodiscard]] duration true_remaining(const task_name& task) const;
+
     /// Submits to the current owner.
     admission_result submit(const std::string& id, submission what);
 
@@ -209,6 +219,10 @@
     double m_duration_sigma = 0;                ///< Sigma of the lognormal factor of run times over
                                                 ///< estimates.
 
+    /// If set, a task's run time over its estimate; it replaces the random factor.
+    std::function<double(const task_name&)> m_duration_factor;
+    double m_progress_power = 1; ///< Reported progress is the true share to this power.
+
     /// Checks one start and records violations; tests also call it with invalid starts.
     void check_start(std::size_t worker, const worker_order& order);
 
@@ -239,6 +253,7 @@
     [[nodiscard]] std::int64_t clock_of(const virtual_worker& worker) const;
 
     time_point m_now{seconds(1000)};
+    double m_remote_factor = 1.5;
     std::mt19937_64 m_random;
     time_point m_calm_since{};
     std::int64_t m_next_token = 1;
