--- a/tests/schedule/locality_test.cpp
+++ b/tests/schedule/locality_test.cpp
@@ -214,17 +214,17 @@
 TEST_CASE("a step after others waits for the rack of its data when that pays", "[locality]")
 {
     two_racks pool(1);
-    pool.fill_r1(milliseconds(1000));
+    pool.fill_r1(milliseconds(1400));
     submission what = make_submission({1, 1}, whole_worker, milliseconds(800));
     what.m_steps[1].m_data_rack = "r1";
     REQUIRE(pool.submit("a", what).m_answer == admission::accepted);
-    pool.run_for(milliseconds(300));
-    // The rack is taken again just before the second step is ready.
-    pool.run_for(milliseconds(400));
-    pool.submit_near("next", 2, whole_worker, milliseconds(400));
-    pool.run_for(milliseconds(2400));
-    CHECK(pool.m_done.contains({submission_id("a"), 0, 1, 0}));
-    CHECK(pool.current_owner().m_shard.m_locality.m_counts.m_starts_elsewhere == 0);
+    // The second step is ready after 0.9 s, and the rack has room after 1.4 s.
+    pool.run_for(milliseconds(1050));
+    CHECK(pool.running("a", "r0") == 0);
+    pool.run_for(milliseconds(500));
+    CHECK(pool.running("a", "r1") == 1);
+    pool.run_for(milliseconds(700));
+    CHECK(pool.state("a") == submission_state::succeeded);
     CHECK(pool.violations().empty());
 }
 
