Price longer runs by the fourth power of the pool's share in use

With one rack wanted by many at load 0.9 the other racks had free cores while tasks waited: the price of a longer run grew with the share in use and counted capacity that nobody needed.

--- a/src/schedule/place_waits.cpp
+++ b/src/schedule/place_waits.cpp
@@ -1,7 +1,7 @@
 #include "schedule/place_waits.h"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 
 namespace guavabay {
 
@@ -12,6 +12,9 @@
 constexpr double idle_price_of_full_pool = 0.3;
 constexpr double work_price_of_full_pool = 1;
 
+/// Power of the pool's share in use by which the price of longer runs grows.
+constexpr double work_price_power = 4;
+
 /// A task that has room elsewhere waits no longer than this once less than half of the pool has
 /// been in use for as long. The platform counts work that stands still for three seconds as lost.
 constexpr milliseconds max_wait_in_idle_pool{2000};
@@ -289,7 +292,8 @@
     question.m_hard_slack = record.m_hard_deadline - now - record.m_remaining_critical_path;
     const double used = use_share(state, candidates);
     question.m_idle_price = idle_price_of_full_pool * used;
-    question.m_work_price = work_price_of_full_pool * used;
+    // Others need the cores of a longer run only once nearly all are in use.
+    question.m_work_price = work_price_of_full_pool * std::pow(used, work_price_power);
     place_decision decision = decide_by_rule(known.m_rule, known.m_fixed_wait, question);
     if (now - state.m_half_used_at >= max_wait_in_idle_pool &&
         question.m_waited >= max_wait_in_idle_pool) {
