--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "schedule/advice.h"
+#include "schedule/place_waits.h"
 #include "schedule/quota_holder.h"
 #include "schedule/shard_steps.h"
 
@@ -104,8 +105,8 @@
     const submission_step& step = record.m_definition.m_steps[slot.m_task.m_step];
     if (!slot.m_told && step.m_estimate > milliseconds(0)) {
         slot.m_told = true;
-        add_task_ratio(record.m_run_times,
-                       percent_ms * 100 / static_cast<double>(step.m_estimate.count()));
+        add_task_ratio(record.m_run_times, percent_ms * 100 / slot.m_place_factor /
+                                               static_cast<double>(step.m_estimate.count()));
     }
 }
 
@@ -121,12 +122,13 @@
     }
     const double measured_ms = to_milliseconds(now - slot.m_ordered_at);
     const double estimate_ms = static_cast<double>(step.m_estimate.count());
-    const double ratio = measured_ms / estimate_ms;
+    const double ratio = measured_ms / slot.m_place_factor / estimate_ms; // Near its data.
     const submission_run_times others =
         slot.m_told ? without_ratio(record.m_run_times, ratio) : record.m_run_times;
     const double expected_ms = estimate_ms * estimate_factor(run_times_of(state, record), others);
+    note_run_ratio(state, ratio * estimate_ms / expected_ms);
     const double slowness =
-        std::clamp(measured_ms / expected_ms, min_sample_ratio, max_sample_ratio);
+        std::clamp(ratio * estimate_ms / expected_ms, min_sample_ratio, max_sample_ratio);
     // A single run that takes long is a task of the tail; on a slow worker all do.
     const double common = std::min(slowness, worker.m_last_slowness);
     worker.m_slowness += slowness_weight * (common - worker.m_slowness);
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
+#include "schedule/locality_state.h"
 #include "schedule/organisation_accounts.h"
 #include "schedule/run_times.h"
 #include "schedule/stray_runs.h"
@@ -151,6 +152,7 @@
     std::int32_t m_requested_pace = 100;
     time_point m_pace_at{};     ///< When the pace last changed.
     milliseconds m_estimate{0}; ///< Of its run time, corrected by its progress.
+    double m_place_factor = 1;  ///< Slow-down of its place; the estimate includes it.
     bool m_told = false;        ///< Its submission has learned from its progress.
     bool m_partial = false;     ///< Its time tells nothing: it was adopted from a former owner, or
                                 ///< resumed from a checkpoint.
@@ -348,6 +350,7 @@
     std::uint64_t m_ends_done = 0;              ///< Metric: runs that ended successfully.
     std::uint64_t m_ends_other = 0;             ///< Metric: runs that ended otherwise.
     cancellation_counts m_cancellations;
+    locality_state m_locality;   ///< About tasks and gangs that run faster at some place.
     bool m_ranking_stale = true; ///< Submissions have changed since the last ranking.
     std::vector<submission_record*> m_ranked;
     time_point m_ranked_at{};
