Bound what clients can make a host hold: bytes, connections, time

Cause: the HTTP parser counts only the bytes of chunks, so trailers and chunk extensions grew the receive buffer without a limit; nothing bounded the sum over connections, nor their number; a peer's frame took its announced length before its first byte came. Change: src/net/connection_budget decides who is refused and who is closed first, src/net/request_reader.h reads requests in counted pieces; callers', readiness, metrics and peers' ports of dispatch share one budget, and the ports of serve have budgets of their own. The limits follow from the new settings memory-mb and max-descriptors. One timer a port replaces two for each request.

--- a/src/dispatch/caller_server.h
+++ b/src/dispatch/caller_server.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include <functional>
-#include <set>
+#include <memory>
 #include <string>
 
 #include "core/time.h"
 #include "dispatch/operator_config.h"
 #include "net/address.h"
+#include "net/connection_budget.h"
 #include "net/http_call.h"
+#include "net/request_reader.h"
 
 namespace guavabay {
 
@@ -36,9 +38,11 @@
     /// Produces the response to a request.
     using request_handler = std::function<asio::awaitable<caller_answer>(caller_request)>;
 
-    /// Listens on an address and starts to accept connections. Throws boost::system::system_error
-    /// if the address cannot be bound.
-    caller_server(asio::io_context& context, const ip_address& address, request_handler handler);
+    /// Listens on an address and starts to accept connections, which count as those of a port of
+    /// the budget. Throws boost::system::system_error if the address cannot be bound.
+    caller_server(asio::io_context& context, const ip_address& address,
+                  std::shared_ptr<connection_budget> budget, budget_port port,
+                  request_handler handler);
 
     /// Sets the limits that apply from the next request of each connection.
     void set_limits(const request_limits& limits) { m_limits = limits; }
@@ -51,23 +55,35 @@
     [[nodiscard]] std::size_t requests_in_flight() const { return m_requests_in_flight; }
 
     /// Number of open connections.
-    [[nodiscard]] std::size_t open_connections() const { return m_open_connections; }
+    [[nodiscard]] std::size_t open_connections() const;
 
     /// Time at which the last request was read.
     [[nodiscard]] time_point last_request_at() const { return m_last_request_at; }
 
 private:
+    struct open_connection;
+
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    /// Closes connections whose time is over, as long as any are open.
+    asio::awaitable<void> close_expired_connections();
+    /// Serves a new connection, or refuses it if the budget does.
+    void add_connection(std::unique_ptr<open_connection> connection);
+    /// Limits what the system receives for new connections while there are many.
+    void adapt_receive_buffers();
+    asio::awaitable<void> serve(std::unique_ptr<open_connection> connection);
+    [[nodiscard]] state_timeouts timeouts() const;
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<connection_budget> m_budget; ///< Outlives this: connections leave it later.
+    budget_port m_port;
+    asio::steady_timer m_expiry_timer;
     request_handler m_handler;
     request_limits m_limits;
     std::size_t m_requests_in_flight = 0;
-    std::size_t m_open_connections = 0;
     time_point m_last_request_at{};
     bool m_draining = false;
+    bool m_is_crowded = false; ///< New connections have small receive buffers.
 };
 
 } // namespace guavabay
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -106,19 +106,22 @@
 } // namespace
 
 dispatcher::dispatcher(asio::io_context& context, host_settings settings)
-    : m_context(context),
-      m_settings(std::move(settings)), m_self{m_settings.m_host,
-                                              make_incarnation(),
-                                              format_address(m_settings.m_peer_address),
-                                              m_settings.m_zone,
-                                              false,
-                                              m_settings.m_capacity},
+    : m_context(context), m_settings(std::move(settings)),
+      m_budget(std::make_shared<connection_budget>()), m_self{m_settings.m_host,
+                                                              make_incarnation(),
+                                                              format_address(
+                                                                  m_settings.m_peer_address),
+                                                              m_settings.m_zone,
+                                                              false,
+                                                              m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
       m_worker_client(m_client),
-      m_peer_link(context, m_settings.m_peer_address,
-                  [this](host_message message, bool reply_expected) {
-                      return handle_peer_message(std::move(message), reply_expected);
-                  }),
+      m_peer_link(
+          context, m_settings.m_peer_address,
+          [this](host_message message, bool reply_expected) {
+              return handle_peer_message(std::move(message), reply_expected);
+          },
+          m_budget),
       m_operator_records(
           context, m_store, std::string(platform::operator_prefix),
           [this](const std::vector<std::string>& keys) { handle_operator_changes(keys); }),
@@ -133,15 +136,16 @@
                              }
                          }),
       m_caller_server(
-          context, m_settings.m_caller_address,
+          context, m_settings.m_caller_address, m_budget, budget_port::callers,
           [this](caller_request request) { return handle_caller_request(std::move(request)); }),
-      m_readiness_server(context, m_settings.m_readiness_address, [this](caller_request request) {
-          return handle_readiness_request(std::move(request));
-      })
+      m_readiness_server(
+          context, m_settings.m_readiness_address, m_budget, budget_port::readiness,
+          [this](caller_request request) { return handle_readiness_request(std::move(request)); })
 {
+    m_budget->m_limits = derive_budget_limits(m_settings.m_memory_mb, m_settings.m_max_descriptors);
     if (m_settings.m_metrics_address) {
         m_metrics_server = std::make_unique<caller_server>(
-            context, *m_settings.m_metrics_address,
+            context, *m_settings.m_metrics_address, m_budget, budget_port::metrics,
             [this](caller_request request) { return handle_metrics_request(std::move(request)); });
     }
     m_peer_table.m_own_address = m_self.m_peer_address;
@@ -643,6 +647,7 @@
     line("guavabay_worker_relay_failures_total",
          static_cast<double>(m_worker_client.relay_failures()));
     line("guavabay_caller_connections", static_cast<double>(m_caller_server.open_connections()));
+    text += format_budget_metrics(*m_budget);
     const time_point now = read_boot_clock();
     for (const auto& [service, owner] : m_owners) {
         const shard& state = owner->state();
--- a/src/dispatch/host_settings.cpp
+++ b/src/dispatch/host_settings.cpp
@@ -119,6 +119,10 @@
                      "Speed of a core relative to other hosts, 0.01 to 1024."),
         text_setting("link-megabits", "1000",
                      "Bandwidth of this host's network link, 0.01 to 1000000 Mbit/s."),
+        number_setting("memory-mb", 160, 32, 1048576, "MB",
+                       "Memory of this host, from which the limits of callers' bytes follow."),
+        number_setting("max-descriptors", 4100, 256, 1048576, "descriptors",
+                       "Descriptors of this process, from which the limits of connections follow."),
         {"first-start",
          setting_kind::word,
          "false",
@@ -161,6 +165,8 @@
     settings.m_upkeep_duration = milliseconds_from_seconds(*upkeep);
     settings.m_move_duration = milliseconds_from_seconds(*move);
     settings.m_machine_orders_per_s = *rate;
+    settings.m_memory_mb = static_cast<std::size_t>(values.number("memory-mb"));
+    settings.m_max_descriptors = static_cast<std::size_t>(values.number("max-descriptors"));
     settings.m_first_start = values.text("first-start") == "true";
     schedule_bounds& bounds = settings.m_bounds;
     const auto max_hold_ms = static_cast<double>(values.number("longest-hold-ms"));
--- a/src/dispatch/host_settings.h
+++ b/src/dispatch/host_settings.h
@@ -27,9 +27,11 @@
     milliseconds m_upkeep_duration{2000}; ///< Of one machine.
     milliseconds m_move_duration{1500};   ///< Of one machine to another pool.
     double m_machine_orders_per_s = 16;   ///< Rate of machine orders that the platform accepts.
-    double m_capacity = 1;      ///< Load that this host can take, relative to other hosts.
-    bool m_first_start = false; ///< The whole system is starting for the first time.
-    schedule_bounds m_bounds;   ///< Times and factors that the scheduler relies on.
+    double m_capacity = 1;         ///< Load that this host can take, relative to other hosts.
+    std::size_t m_memory_mb = 160; ///< Memory of this host.
+    std::size_t m_max_descriptors = 4100; ///< Descriptors that this process may open.
+    bool m_first_start = false;           ///< The whole system is starting for the first time.
+    schedule_bounds m_bounds;             ///< Times and factors that the scheduler relies on.
 };
 
 /// Declares all settings of an entry host with their defaults, ranges and help texts.
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge_server.h"
 
+#include <sstream>
+
 #include "log/log.h"
 
 namespace guavabay {
@@ -42,12 +44,52 @@
 
 } // namespace
 
+/// A caller's connection, counted in the budget while it exists.
+struct edge_server::open_connection : budgeted_connection {
+    open_connection(asio::ip::tcp::socket&& socket, std::shared_ptr<connection_budget> budget)
+        : m_stream(std::move(socket)), m_budget(std::move(budget))
+    {
+    }
+    open_connection(const open_connection&) = delete;
+    open_connection& operator=(const open_connection&) = delete;
+    ~open_connection() override
+    {
+        if (is_linked()) {
+            leave(*m_budget, *this);
+        }
+    }
+
+    void close_socket() override
+    {
+        log_warning("edge: connection closed reason=" + std::string(to_string(*m_close_reason)));
+        error_code ignored;
+        if (m_state == connection_state::reading_header ||
+            m_state == connection_state::reading_body) {
+            string_response response = make_error_answer(error_kind::overloaded, {});
+            response.keep_alive(false);
+            std::ostringstream text;
+            text << response;
+            m_stream.socket().non_blocking(true, ignored);
+            m_stream.socket().write_some(asio::buffer(text.str()), ignored);
+        }
+        m_stream.close();
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<connection_budget> m_budget;
+};
+
 edge_server::edge_server(asio::io_context& context, const ip_address& address,
                          const edge_limits& limits, request_flow& flow, shared_state& shared,
                          std::function<void()> on_idle)
     : m_context(context), m_acceptor(context, address.tcp()), m_limits(limits), m_flow(flow),
-      m_shared(shared), m_on_idle(std::move(on_idle))
+      m_shared(shared), m_on_idle(std::move(on_idle)),
+      m_budget(std::make_shared<connection_budget>())
 {
+    m_budget->m_limits.m_max_bytes = m_limits.m_max_held_bytes;
+    m_budget->m_limits.m_ports.front() = {m_limits.m_max_connections,
+                                          per_address_limit(m_limits.m_max_connections)};
+    m_budget->m_now = read_clock();
     asio::co_spawn(m_context, accept(), asio::detached);
     asio::co_spawn(m_context, tend(), asio::detached);
 }
@@ -65,7 +107,9 @@
     asio::steady_timer pause(m_context);
     while (m_acceptor.is_open()) {
         error_code error;
-        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+        asio::ip::tcp::endpoint client;
+        asio::ip::tcp::socket socket =
+            co_await m_acceptor.async_accept(client, to_coroutine(error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
@@ -74,12 +118,14 @@
             co_await pause.async_wait(to_coroutine(error));
             continue;
         }
-        const bool full = m_connections.size() >= m_limits.m_max_connections;
-        if (full) {
-            asio::co_spawn(m_context, refuse_connection(std::move(socket)), asio::detached);
+        auto connection = std::make_unique<open_connection>(std::move(socket), m_budget);
+        connection->m_source = source_of(client.address());
+        if (admit(*m_budget, *connection)) {
+            asio::co_spawn(m_context, refuse_connection(connection->m_stream.release_socket()),
+                           asio::detached);
         }
         else {
-            asio::co_spawn(m_context, serve_connection(std::move(socket)), asio::detached);
+            asio::co_spawn(m_context, serve_connection(std::move(connection)), asio::detached);
         }
     }
 }
@@ -95,61 +141,74 @@
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<void> edge_server::serve_connection(asio::ip::tcp::socket socket)
+asio::awaitable<void> edge_server::serve_connection(std::unique_ptr<open_connection> connection)
 {
-    open_connection connection{{}, beast::tcp_stream(std::move(socket))};
-    m_connections.push_back(connection);
-    beast::tcp_stream& stream = connection.m_stream;
+    beast::tcp_stream& stream = connection->m_stream;
     error_code error;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
     beast::flat_buffer buffer(m_limits.m_max_header_bytes + read_ahead_bytes);
     bool open = !m_closing;
     while (open) {
         if (buffer.size() == 0) {
-            connection.m_idle = true;
+            enter_state(*m_budget, *connection, connection_state::idle);
             stream.expires_after(m_limits.m_idle_patience);
             const std::size_t length = co_await stream.async_read_some(
                 buffer.prepare(first_read_bytes), to_coroutine(error));
             buffer.commit(length);
-            if (error) {
+            if (error || connection->m_close_reason) {
                 break;
             }
         }
-        connection.m_idle = false;
-        open = co_await serve_one(stream, buffer);
+        enter_state(*m_budget, *connection, connection_state::reading_header);
+        open = co_await serve_one(*connection, buffer);
+        open = open && !connection->m_close_reason;
     }
-    m_connections.erase(m_connections.iterator_to(connection));
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
 }
 
 void edge_server::close_idle()
 {
-    for (open_connection& connection : m_connections) {
-        if (connection.m_idle) {
-            connection.m_stream.cancel();
-        }
+    auto& connections = m_budget->m_ports.front().m_connections;
+    for (budgeted_connection& one :
+         connections.at(static_cast<std::size_t>(connection_state::idle))) {
+        static_cast<open_connection&>(one).m_stream.cancel();
     }
 }
 
-asio::awaitable<bool> edge_server::serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+asio::awaitable<error_code> edge_server::read_whole(open_connection& connection,
+                                                    beast::flat_buffer& buffer,
+                                                    request_parser& parser)
 {
-    const counted active(m_active);
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(m_limits.m_max_header_bytes);
-    parser.body_limit(m_limits.m_max_body_bytes);
-    error_code error;
+    const std::uint64_t max_bytes =
+        max_request_bytes(m_limits.m_max_header_bytes, m_limits.m_max_body_bytes);
+    std::uint64_t received_bytes = 0;
+    beast::tcp_stream& stream = connection.m_stream;
     stream.expires_after(m_limits.m_header_patience);
-    co_await http::async_read_header(stream, buffer, parser, to_coroutine(error));
+    error_code error = co_await read_request(stream, *m_budget, connection, buffer, parser,
+                                             read_until::header, max_bytes, received_bytes);
     const bool invited =
         !error && beast::iequals(parser.get()[http::field::expect], "100-continue");
     if (invited) {
         const http::response<http::empty_body> go_on(http::status::continue_, 11);
         co_await http::async_write(stream, go_on, to_coroutine(error));
     }
-    if (!error) {
+    if (!error && !parser.is_done()) {
         stream.expires_after(m_limits.m_body_patience);
-        co_await http::async_read(stream, buffer, parser, to_coroutine(error));
+        error = co_await read_request(stream, *m_budget, connection, buffer, parser,
+                                      read_until::end, max_bytes, received_bytes);
     }
+    co_return connection.m_close_reason ? asio::error::operation_aborted : error;
+}
+
+asio::awaitable<bool> edge_server::serve_one(open_connection& connection,
+                                             beast::flat_buffer& buffer)
+{
+    const counted active(m_active);
+    request_parser parser;
+    parser.header_limit(m_limits.m_max_header_bytes);
+    parser.body_limit(m_limits.m_max_body_bytes);
+    beast::tcp_stream& stream = connection.m_stream;
+    error_code error = co_await read_whole(connection, buffer, parser);
     string_response response;
     bool keep = false;
     if (error) {
@@ -162,17 +221,10 @@
     else {
         http::request<http::string_body> request = parser.release();
         keep = request.keep_alive();
-        const std::uint64_t size = request.body().size();
         const bool head = request.method() == http::verb::head;
-        if (m_held_bytes + size > m_limits.m_max_held_bytes) {
-            response = make_error_answer(error_kind::overloaded, {});
-        }
-        else {
-            m_held_bytes += size;
-            stream.expires_never();
-            response = co_await answer_to(std::move(request));
-            m_held_bytes -= size;
-        }
+        enter_state(*m_budget, connection, connection_state::handling);
+        stream.expires_never();
+        response = co_await answer_to(std::move(request));
         if (head) {
             const std::uint64_t length = response.body().size();
             response.body().clear();
@@ -184,8 +236,13 @@
     keep = keep && !m_stopping;
     response.version(11);
     response.keep_alive(keep);
+    enter_state(*m_budget, connection, connection_state::writing);
+    if (!hold(*m_budget, connection, response.body().size())) {
+        co_return false;
+    }
     stream.expires_after(m_limits.m_write_patience);
     co_await http::async_write(stream, response, to_coroutine(error));
+    hold(*m_budget, connection, 0);
     co_return keep && !error;
 }
 
@@ -244,7 +301,8 @@
         timer.expires_after(tend_interval);
         error_code ignored;
         co_await timer.async_wait(to_coroutine(ignored));
-        m_flow.tend(read_clock());
+        m_budget->m_now = read_clock();
+        m_flow.tend(m_budget->m_now);
     }
 }
 
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 
 #include "edge/request_flow.h"
+#include "net/request_reader.h"
 
 namespace guavabay {
 
@@ -29,21 +29,18 @@
 
 private:
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket);
-    asio::awaitable<bool> serve_one(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+    struct open_connection;
+
+    asio::awaitable<void> serve_connection(std::unique_ptr<open_connection> connection);
+    asio::awaitable<bool> serve_one(open_connection& connection, beast::flat_buffer& buffer);
+    /// Reads a request whole, after an invitation to send its body where the caller waits for one.
+    asio::awaitable<error_code> read_whole(open_connection& connection, beast::flat_buffer& buffer,
+                                           request_parser& parser);
     asio::awaitable<string_response> answer_to(http::request<http::string_body> request);
     asio::awaitable<void> refuse_connection(asio::ip::tcp::socket socket);
     asio::awaitable<void> drain();
     asio::awaitable<void> tend();
 
-    /// A caller's connection, in the list of all of them for as long as it lives.
-    struct open_connection : boost::intrusive::list_base_hook<> {
-        beast::tcp_stream m_stream;
-        bool m_idle = true; ///< No byte of a next request has arrived.
-    };
-
-    using connection_list = boost::intrusive::list<open_connection>;
-
     void close_idle();
 
     asio::io_context& m_context;
@@ -52,9 +49,8 @@
     request_flow& m_flow;
     shared_state& m_shared;
     std::function<void()> m_on_idle;
-    connection_list m_connections;
+    std::shared_ptr<connection_budget> m_budget; ///< Outlives this: connections leave it later.
     std::size_t m_active = 0;
-    std::uint64_t m_held_bytes = 0;
     bool m_stopping = false;
     bool m_closing = false; ///< Past the drain time: idle connections are closed.
 };
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -28,4 +28,21 @@
     return address;
 }
 
+std::uint64_t source_of(const asio::ip::address& address)
+{
+    if (address.is_v4()) {
+        return address.to_v4().to_uint();
+    }
+    const asio::ip::address_v6 number = address.to_v6();
+    if (number.is_v4_mapped()) {
+        return asio::ip::make_address_v4(asio::ip::v4_mapped, number).to_uint();
+    }
+    const auto bytes = number.to_bytes();
+    std::uint64_t source = 0;
+    for (std::size_t i = 0; i < sizeof source; ++i) {
+        source = source << 8U | bytes.at(i);
+    }
+    return source;
+}
+
 } // namespace guavabay
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -21,4 +21,8 @@
 /// Reads text such as 127.0.0.1:8080; empty with a reason when malformed.
 std::optional<ip_address> parse_address(const std::string& text);
 
+/// Number that stands for a client's address in limits: of an IPv6 address the first 64 bits count,
+/// since a client commonly has all addresses that begin with them.
+std::uint64_t source_of(const asio::ip::address& address);
+
 } // namespace guavabay
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -8,6 +8,7 @@
 inline constexpr unsigned forbidden = 403;
 inline constexpr unsigned not_found = 404;
 inline constexpr unsigned method_not_allowed = 405;
+inline constexpr unsigned request_timeout = 408;
 inline constexpr unsigned conflict = 409;
 inline constexpr unsigned gone = 410;
 inline constexpr unsigned precondition_failed = 412;
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -11,8 +11,13 @@
 
 constexpr seconds read_patience{75};
 constexpr seconds answer_patience{15};
+constexpr milliseconds accept_retry_pause{50};
 constexpr std::uint64_t max_body_bytes = 1U << 20U;
+constexpr std::uint32_t max_header_bytes = 8U << 10U;
 constexpr std::size_t max_connections = 256;
+
+/// Bytes of incomplete calls and of answers that are not taken, of all connections together.
+constexpr std::size_t max_held_bytes = 32U << 20U;
 constexpr std::size_t max_waiting = 1024;
 constexpr std::string_view contracts_path = "/v1/contracts";
 constexpr std::string_view bearer_prefix = "Bearer ";
@@ -173,12 +178,41 @@
 
 } // namespace
 
+/// An operator's connection, counted in the budget while it exists.
+struct operator_server::open_connection : budgeted_connection {
+    open_connection(asio::ip::tcp::socket&& socket, std::shared_ptr<connection_budget> budget)
+        : m_stream(std::move(socket)), m_budget(std::move(budget))
+    {
+    }
+    open_connection(const open_connection&) = delete;
+    open_connection& operator=(const open_connection&) = delete;
+    ~open_connection() override
+    {
+        if (is_linked()) {
+            leave(*m_budget, *this);
+        }
+    }
+
+    void close_socket() override
+    {
+        log_warning("operators: connection closed reason=" +
+                    std::string(to_string(*m_close_reason)));
+        m_stream.close();
+    }
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<connection_budget> m_budget;
+};
+
 operator_server::operator_server(asio::io_context& context, const ip_address& address,
                                  std::string key, request_sender sender,
                                  const request_metrics& metrics, shared_state& shared)
     : m_context(context), m_acceptor(context, address.tcp()), m_key(std::move(key)),
-      m_send(std::move(sender)), m_metrics(metrics), m_shared(shared)
+      m_send(std::move(sender)), m_metrics(metrics), m_shared(shared),
+      m_budget(std::make_shared<connection_budget>())
 {
+    m_budget->m_limits.m_max_bytes = max_held_bytes;
+    m_budget->m_limits.m_ports.front() = {max_connections, max_connections};
     asio::co_spawn(m_context, accept(), asio::detached);
 }
 
@@ -199,38 +233,60 @@
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (!error && m_connections < max_connections) {
-            asio::co_spawn(m_context, serve_connection(std::move(socket)), asio::detached);
+        if (error) {
+            // Without a pause a lack of descriptors would keep the processor busy.
+            log_warning("operators: accept failed: " + error.message());
+            asio::steady_timer pause(m_context, accept_retry_pause);
+            co_await pause.async_wait(to_coroutine(error));
+            continue;
+        }
+        m_budget->m_now = read_clock();
+        auto connection = std::make_unique<open_connection>(std::move(socket), m_budget);
+        const std::optional<budget_reason> refusal = admit(*m_budget, *connection);
+        if (refusal) {
+            log_warning("operators: connection refused reason=" + std::string(to_string(*refusal)));
+            continue;
         }
+        asio::co_spawn(m_context, serve_connection(std::move(connection)), asio::detached);
     }
 }
 
-asio::awaitable<void> operator_server::serve_connection(asio::ip::tcp::socket socket)
+asio::awaitable<void> operator_server::serve_connection(std::unique_ptr<open_connection> connection)
 {
-    ++m_connections;
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::tcp_stream& stream = connection->m_stream;
+    beast::flat_buffer buffer(max_header_bytes);
     error_code error;
     bool open = true;
     while (open) {
-        http::request_parser<http::string_body> parser;
+        request_parser parser;
+        parser.eager(true);
+        parser.header_limit(max_header_bytes);
         parser.body_limit(max_body_bytes);
+        std::uint64_t received_bytes = 0;
         stream.expires_after(read_patience);
-        co_await http::async_read(stream, buffer, parser, to_coroutine(error));
+        error = co_await read_request(
+            stream, *m_budget, *connection, buffer, parser, read_until::end,
+            max_request_bytes(max_header_bytes, max_body_bytes), received_bytes);
         if (error) {
             break;
         }
         const http::request<http::string_body> request = parser.release();
         stream.expires_never();
+        enter_state(*m_budget, *connection, connection_state::handling);
         string_response response = co_await answer_to(request);
         response.keep_alive(request.keep_alive());
         open = request.keep_alive();
+        enter_state(*m_budget, *connection, connection_state::writing);
+        if (!hold(*m_budget, *connection, response.body().size())) {
+            break;
+        }
         stream.expires_after(read_patience);
         co_await http::async_write(stream, response, to_coroutine(error));
-        open = open && !error;
+        hold(*m_budget, *connection, 0);
+        open = open && !error && !connection->m_close_reason;
+        enter_state(*m_budget, *connection, connection_state::idle);
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    --m_connections;
 }
 
 std::optional<string_response>
--- a/src/operator_api/operator_server.h
+++ b/src/operator_api/operator_server.h
@@ -2,12 +2,14 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 #include "edge/answers.h"
 #include "edge/edge_types.h"
 #include "metrics/request_metrics.h"
 #include "net/address.h"
+#include "net/request_reader.h"
 #include "node/node_events.h"
 
 namespace guavabay {
@@ -33,7 +35,9 @@
     };
 
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve_connection(asio::ip::tcp::socket socket);
+    struct open_connection;
+
+    asio::awaitable<void> serve_connection(std::unique_ptr<open_connection> connection);
     asio::awaitable<string_response> answer_to(const http::request<http::string_body>& request);
     asio::awaitable<string_response> call_control(operator_request call);
     std::optional<string_response> answer_here(const http::request<http::string_body>& request);
@@ -46,7 +50,7 @@
     shared_state& m_shared;
     std::uint64_t m_next_number = 1;
     std::map<std::uint64_t, waiter*> m_waiters;
-    std::size_t m_connections = 0;
+    std::shared_ptr<connection_budget> m_budget; ///< Outlives this: connections leave it later.
 };
 
 } // namespace guavabay
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -13,6 +13,9 @@
 /// Longest wait for a connection to a peer in the same or another zone.
 constexpr milliseconds connect_time{500};
 
+/// Pause after a connection could not be accepted.
+constexpr milliseconds accept_retry_pause{20};
+
 /// Bytes that may wait for a peer that does not read.
 constexpr std::size_t max_waiting_bytes = 16U << 20U;
 
@@ -24,6 +27,21 @@
 constexpr milliseconds probe_delay{600};
 constexpr milliseconds probe_timeout{700};
 
+/// Smallest size of the pieces in which a frame is read. Larger frames are read in pieces as large
+/// as what has arrived, since the announced length alone must not make this host take memory.
+constexpr std::size_t min_read_bytes = 16384;
+
+/// From this size on a frame's buffer is reserved in whole, so that it is not copied as it grows.
+/// The system gives memory only to the part that is filled.
+constexpr std::size_t min_reserved_bytes = 262144;
+
+/// Limits of the budget that is used where none is given.
+constexpr std::size_t default_memory_mb = 160;
+constexpr std::size_t default_descriptors = 4100;
+
+/// Called when bytes have been received; false if the connection has to end.
+using progress_check = std::function<bool(std::size_t)>;
+
 /// Bytes of a connection that were received and not decoded yet.
 struct receive_buffer {
     std::string m_bytes;
@@ -31,9 +49,10 @@
     time_point m_last_received_at{};
 };
 
-/// Reads one frame; empty when the connection ended or the frame is malformed.
-asio::awaitable<std::optional<host_frame>> read_frame(asio::ip::tcp::socket& socket,
-                                                      receive_buffer& received)
+/// Reads one frame; empty when the connection ended or the frame is malformed. The check, if there
+/// is one, is told the bytes of incomplete frames.
+asio::awaitable<std::optional<host_frame>>
+read_frame(asio::ip::tcp::socket& socket, receive_buffer& received, const progress_check& may_go_on)
 {
     std::string& buffer = received.m_bytes;
     error_code error;
@@ -51,13 +70,18 @@
         }
         const std::size_t before = buffer.size();
         received.m_incomplete_bytes = before;
-        const std::size_t wanted = std::max<std::size_t>(16384, length + sizeof length - before);
+        if (before >= min_reserved_bytes) {
+            buffer.reserve(sizeof length + length);
+        }
+        const std::size_t missing = sizeof length + length - before;
+        const std::size_t wanted =
+            std::max(min_read_bytes, std::min(missing, std::max(min_read_bytes, before)));
         buffer.resize(before + wanted);
         const std::size_t got = co_await socket.async_read_some(
             asio::buffer(buffer.data() + before, wanted), to_coroutine(error));
         buffer.resize(before + (error ? 0 : got));
         received.m_last_received_at = read_boot_clock();
-        if (error) {
+        if (error || (may_go_on && !may_go_on(buffer.size()))) {
             co_return std::nullopt;
         }
     }
@@ -120,9 +144,62 @@
     std::size_t m_timeouts_in_row = 0;
 };
 
-host_link::host_link(asio::io_context& context, const ip_address& address, request_handler handler)
-    : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler))
+/// A connection of a peer, counted in the budget while it exists. Shared by its calls, which may be
+/// answered out of order.
+struct host_link::incoming : budgeted_connection {
+    incoming(asio::ip::tcp::socket&& taken, std::shared_ptr<connection_budget> budget,
+             std::uint64_t source)
+        : m_socket(std::move(taken)), m_budget(std::move(budget))
+    {
+        m_port = budget_port::peers;
+        m_source = source;
+    }
+    incoming(const incoming&) = delete;
+    incoming& operator=(const incoming&) = delete;
+    ~incoming() override
+    {
+        if (is_linked()) {
+            leave(*m_budget, *this);
+        }
+    }
+
+    void close_socket() override
+    {
+        log_warning("peer: connection closed reason=" + std::string(to_string(*m_close_reason)));
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    /// Counts what is received and what waits to be sent. False if the connection was closed.
+    bool count_bytes()
+    {
+        const std::size_t bytes = m_received_bytes + m_waiting.size() + m_sending_bytes;
+        const connection_state state = m_writing   ? connection_state::writing
+                                       : bytes > 0 ? connection_state::reading_body
+                                                   : connection_state::idle;
+        if (state != m_state) {
+            enter_state(*m_budget, *this, state);
+        }
+        return hold(*m_budget, *this, bytes);
+    }
+
+    asio::ip::tcp::socket m_socket;
+    std::shared_ptr<connection_budget> m_budget;
+    std::string m_waiting;
+    std::size_t m_received_bytes = 0; ///< Of incomplete frames.
+    std::size_t m_sending_bytes = 0;
+    bool m_writing = false;
+};
+
+host_link::host_link(asio::io_context& context, const ip_address& address, request_handler handler,
+                     std::shared_ptr<connection_budget> budget)
+    : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler)),
+      m_budget(std::move(budget))
 {
+    if (!m_budget) {
+        m_budget = std::make_shared<connection_budget>();
+        m_budget->m_limits = derive_budget_limits(default_memory_mb, default_descriptors);
+    }
     spawn_loop(m_context, "the listener for peers", [this] { return accept(); });
 }
 
@@ -232,9 +309,10 @@
 
 asio::awaitable<void> host_link::read_replies(std::shared_ptr<outgoing> channel)
 {
+    const progress_check unchecked;
     while (true) {
         std::optional<host_frame> frame =
-            co_await read_frame(channel->m_socket, channel->m_received);
+            co_await read_frame(channel->m_socket, channel->m_received, unchecked);
         if (!frame) {
             break;
         }
@@ -330,36 +408,51 @@
 {
     while (true) {
         error_code error;
-        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(to_coroutine(error));
+        asio::ip::tcp::endpoint peer;
+        asio::ip::tcp::socket socket = co_await m_acceptor.async_accept(peer, to_coroutine(error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (!error) {
-            spawn(m_context, "a peer's connection", serve(std::move(socket)));
+        if (error) {
+            // Without a pause a lack of descriptors would keep the processor busy.
+            log_warning("peer: accept failed: " + error.message());
+            asio::steady_timer timer(m_context, accept_retry_pause);
+            co_await timer.async_wait(to_coroutine(error));
+            continue;
         }
+        add_connection(
+            std::make_shared<incoming>(std::move(socket), m_budget, source_of(peer.address())));
     }
 }
 
-/// Shared by the calls of one connection, which may be answered out of order.
-struct host_link::incoming {
-    explicit incoming(asio::ip::tcp::socket&& taken) : m_socket(std::move(taken)) {}
-
-    asio::ip::tcp::socket m_socket;
-    std::string m_waiting;
-    bool m_writing = false;
-};
+void host_link::add_connection(std::shared_ptr<incoming> connection)
+{
+    m_budget->m_now = read_boot_clock();
+    const std::optional<budget_reason> refusal = admit(*m_budget, *connection);
+    if (refusal) {
+        log_warning("peer: connection refused reason=" + std::string(to_string(*refusal)));
+        return;
+    }
+    spawn(m_context, "a peer's connection", serve(std::move(connection)));
+}
 
-asio::awaitable<void> host_link::serve(asio::ip::tcp::socket socket)
+asio::awaitable<void> host_link::serve(std::shared_ptr<incoming> shared)
 {
-    auto shared = std::make_shared<incoming>(std::move(socket));
     error_code error;
     shared->m_socket.set_option(asio::ip::tcp::no_delay(true), error);
     receive_buffer received;
+    const progress_check may_go_on = [&shared](std::size_t bytes) {
+        shared->m_received_bytes = bytes;
+        return shared->count_bytes();
+    };
     while (true) {
-        std::optional<host_frame> frame = co_await read_frame(shared->m_socket, received);
+        std::optional<host_frame> frame =
+            co_await read_frame(shared->m_socket, received, may_go_on);
         if (!frame) {
             co_return;
         }
+        shared->m_received_bytes = received.m_bytes.size();
+        shared->count_bytes();
         count_received(*frame);
         spawn(m_context, "an answer to a peer", answer(shared, std::move(*frame)));
     }
@@ -369,17 +462,18 @@
 {
     const std::uint64_t number = frame.m_number;
     std::optional<host_message> reply = co_await m_handler(std::move(frame.m_message), number != 0);
-    if (!reply || number == 0) {
+    if (!reply || number == 0 || shared->m_close_reason) {
         co_return;
     }
     shared->m_waiting += encode_counted(number, *reply);
-    if (shared->m_writing) {
+    if (!shared->count_bytes() || shared->m_writing) {
         co_return;
     }
     shared->m_writing = true;
     while (!shared->m_waiting.empty()) {
         const std::string bytes = std::move(shared->m_waiting);
         shared->m_waiting.clear();
+        shared->m_sending_bytes = bytes.size();
         error_code failed;
         co_await asio::async_write(shared->m_socket, asio::buffer(bytes), to_coroutine(failed));
         if (failed) {
@@ -387,7 +481,9 @@
             shared->m_socket.close(failed);
         }
     }
+    shared->m_sending_bytes = 0;
     shared->m_writing = false;
+    shared->count_bytes();
 }
 
 } // namespace guavabay
--- a/src/peer/host_link.h
+++ b/src/peer/host_link.h
@@ -8,6 +8,7 @@
 
 #include "core/time.h"
 #include "net/address.h"
+#include "net/connection_budget.h"
 #include "peer/host_message.h"
 
 namespace guavabay {
@@ -32,8 +33,10 @@
     using request_handler =
         std::function<asio::awaitable<std::optional<host_message>>(host_message, bool)>;
 
-    /// Listens on an address. Throws boost::system::system_error when it is taken.
-    host_link(asio::io_context& context, const ip_address& address, request_handler handler);
+    /// Listens on an address. Connections from peers count in the budget if there is one. Throws
+    /// boost::system::system_error when the address is taken.
+    host_link(asio::io_context& context, const ip_address& address, request_handler handler,
+              std::shared_ptr<connection_budget> budget = nullptr);
 
     /// Calls a peer; empty with a reason when no reply came in time. The progress tells whether
     /// the call left this host. A call fails early when its connection turns out to be silent; the
@@ -61,12 +64,15 @@
     asio::awaitable<void> run_outgoing(std::shared_ptr<outgoing> channel, ip_address target);
     asio::awaitable<void> read_replies(std::shared_ptr<outgoing> channel);
     asio::awaitable<void> accept();
-    asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    /// Serves a new connection, or closes it if the budget refuses it.
+    void add_connection(std::shared_ptr<incoming> connection);
+    asio::awaitable<void> serve(std::shared_ptr<incoming> shared);
     asio::awaitable<void> answer(std::shared_ptr<incoming> shared, host_frame frame);
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
     request_handler m_handler;
+    std::shared_ptr<connection_budget> m_budget; ///< Outlives this: connections leave it later.
     std::map<std::string, std::shared_ptr<outgoing>> m_channels;
     std::uint64_t m_next_number = 1;
     link_traffic m_traffic{};
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -13,6 +13,13 @@
 
 constexpr std::size_t max_large_transfers = 64;
 constexpr std::chrono::seconds large_patience{5};
+
+/// Bytes of large packets that may be incomplete at one time.
+constexpr std::size_t max_large_bytes = 4 * max_packet_bytes;
+
+/// Smallest piece in which a large packet is read. Further pieces are as large as what has arrived,
+/// since the announced length alone must not make this host take memory.
+constexpr std::size_t min_piece_bytes = 16384;
 constexpr std::size_t max_batch = 64; ///< Datagrams taken in one go.
 constexpr int socket_buffer_bytes = 1 << 20;
 
@@ -117,13 +124,26 @@
     co_await asio::async_read(stream, asio::buffer(header), to_coroutine(error));
     const std::size_t length = (std::size_t(header[0]) << 24U) | (std::size_t(header[1]) << 16U) |
                                (std::size_t(header[2]) << 8U) | std::size_t(header[3]);
-    if (!error && length <= max_packet_bytes) {
-        std::string bytes(length, '\0');
-        co_await asio::async_read(stream, asio::buffer(bytes), to_coroutine(error));
-        if (!error) {
-            take(bytes);
-            m_after_batch();
+    std::string bytes;
+    bool complete = !error && length <= max_packet_bytes;
+    while (complete && bytes.size() < length) {
+        const std::size_t before = bytes.size();
+        const std::size_t piece = std::min(length - before, std::max(min_piece_bytes, before));
+        if (m_large_bytes + piece > max_large_bytes) {
+            log_warning("peer: large packet refused, others hold the memory");
+            complete = false;
+            break;
         }
+        m_large_bytes += piece;
+        bytes.resize(before + piece);
+        co_await asio::async_read(stream, asio::buffer(bytes.data() + before, piece),
+                                  to_coroutine(error));
+        complete = !error;
+    }
+    m_large_bytes -= bytes.size();
+    if (complete) {
+        take(bytes);
+        m_after_batch();
     }
     --m_large_open;
 }
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -57,6 +57,7 @@
     peer_link_counts m_counts;
     std::array<char, 65536> m_buffer{};
     std::size_t m_large_open = 0;
+    std::size_t m_large_bytes = 0; ///< Of packets that are not complete.
 };
 
 } // namespace guavabay
