--- a/tests/hostile/running_program.cpp
+++ b/tests/hostile/running_program.cpp
@@ -144,7 +144,7 @@
     for (const auto& [name, value] : settings) {
         object[name] = value;
     }
-    const std::string path =
+    std::string path =
         (std::filesystem::temp_directory_path() /
          ("guavabay-hostile-" + std::to_string(getpid()) + "-" + std::to_string(m_callers.m_port)))
             .string();
