--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -165,13 +165,14 @@
 template <typename Archive>
 void serialize(Archive& archive, quota_need& value)
 {
-    archive(value.m_organisation, value.m_used, value.m_held, value.m_wanted, value.m_largest);
+    archive(value.m_organisation, value.m_used, value.m_hidden, value.m_held, value.m_wanted,
+            value.m_largest);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, quota_request& value)
 {
-    archive(value.m_service, value.m_token, value.m_sequence, value.m_hidden, value.m_needs);
+    archive(value.m_service, value.m_token, value.m_sequence, value.m_needs);
 }
 
 template <typename Archive>
--- a/src/quota/quota_allocator.cpp
+++ b/src/quota/quota_allocator.cpp
@@ -63,7 +63,7 @@
         const auto found = record.m_allocated.find(pool);
         counted_before = found == record.m_allocated.end() ? resources{} : found->second.m_reserved;
     }
-    const resources used = used_at_most(need.m_used, request.m_hidden, counted_before);
+    const resources used = used_at_most(need.m_used, need.m_hidden, counted_before);
     const resources hidden = used - need.m_used;
     resources target = component_max(used, need.m_held + hidden);
     if (is_settled(allocator, now)) {
@@ -156,7 +156,7 @@
     // An owner leaves out the organisations of which it has, holds and needs nothing.
     for (auto& [id, record] : allocator.m_records) {
         if (!named.contains(id) && record.m_allocated.contains(pool_of(request.m_service))) {
-            allocate_one(allocator, request, {id, {}, {}, {}, {}}, is_known_shard, now);
+            allocate_one(allocator, request, {id, {}, {}, {}, {}, {}}, is_known_shard, now);
         }
     }
     return reply;
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -13,7 +13,9 @@
 /// What a shard has and needs of one organisation's cap.
 struct quota_need {
     organisation_id m_organisation;
-    resources m_used;    ///< Of the runs that the owner knows of, whatever their state.
+    resources m_used; ///< Of the runs that the owner knows of, whatever their state.
+    /// Of a former owner's runs that may exist on workers which have not reported yet, at most.
+    resources m_hidden;
     resources m_held;    ///< Most that the owner may use at present.
     resources m_wanted;  ///< Needed in addition by tasks that could start now.
     resources m_largest; ///< Needed by the largest of these tasks.
@@ -24,9 +26,6 @@
     service_id m_service;
     fencing_token m_token;        ///< Of the shard's owner.
     std::uint64_t m_sequence = 0; ///< Rises with each request of an owner.
-    /// Capacity of the workers whose runs the owner does not know yet: a former owner's runs there
-    /// may belong to any organisation.
-    resources m_hidden;
     std::vector<quota_need> m_needs;
 };
 
--- a/src/schedule/quota_holder.cpp
+++ b/src/schedule/quota_holder.cpp
@@ -72,6 +72,42 @@
     return hidden;
 }
 
+/// Demand of the tasks of an inherited submission that no known worker runs: a former owner may
+/// have started them on workers that have not reported yet.
+resources unplaced_demand(const submission_record& record)
+{
+    resources demand;
+    for (const occurrence_state& occurrence : record.m_occurrences) {
+        for (std::size_t i = 0; i < occurrence.m_steps.size(); ++i) {
+            const resources& each = record.m_definition.m_steps[i].m_demand;
+            for (const scheduled_task& task : occurrence.m_steps[i]) {
+                const bool is_open =
+                    task.m_phase == task_phase::ready || task.m_phase == task_phase::blocked;
+                demand = demand + (is_open ? each : resources{});
+            }
+        }
+    }
+    return demand;
+}
+
+/// What runs that this owner does not know of may use of each organisation's cap, at most: the open
+/// tasks that it has inherited, and no more than the workers can hold that have not reported.
+std::map<organisation_id, resources> find_hidden_use(const shard& state)
+{
+    std::map<organisation_id, resources> hidden;
+    const resources capacity = hidden_capacity(state);
+    if (capacity == resources{}) {
+        return hidden;
+    }
+    for (const submission_record* open : state.m_open_submissions) {
+        if (open->m_inherited && !open->m_organisation.empty()) {
+            resources& sum = hidden[open->m_organisation];
+            sum = component_min(capacity, sum + unplaced_demand(*open));
+        }
+    }
+    return hidden;
+}
+
 resources positive_difference(const resources& left, const resources& right)
 {
     return component_max(left - right, resources{});
@@ -158,8 +194,8 @@
     if (!state.m_loaded || state.m_lost || since < min_request_interval) {
         return std::nullopt;
     }
-    const resources hidden = hidden_capacity(state);
-    quota_request request{state.m_service, state.m_token, 0, hidden, {}};
+    const std::map<organisation_id, resources> hidden = find_hidden_use(state);
+    quota_request request{state.m_service, state.m_token, 0, {}};
     bool is_urgent = false;
     for (const auto& [id, terms] : state.m_organisations) {
         if (terms.m_cap == unlimited_resources) {
@@ -167,14 +203,15 @@
         }
         organisation_quota& quota = state.m_quotas[id];
         give_back_unused(quota, now);
-        // A former owner's runs of any organisation may be hidden.
-        if (is_idle(quota) && hidden == resources{}) {
+        const auto unknown = hidden.find(id);
+        const resources hidden_use = unknown == hidden.end() ? resources{} : unknown->second;
+        if (is_idle(quota) && hidden_use == resources{}) {
             continue;
         }
         const resources wanted = positive_difference(
             component_max(quota.m_peak_need, current_need(quota)), quota.m_used);
         request.m_needs.push_back(
-            {id, quota.m_used, quota.m_held, wanted, quota.m_largest_blocked});
+            {id, quota.m_used, hidden_use, quota.m_held, wanted, quota.m_largest_blocked});
         is_urgent = is_urgent || quota.m_blocked != resources{};
     }
     const bool is_first = state.m_quota_sequence == 0;
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -4,6 +4,7 @@
 
 #include "quota/quota_allocator.h"
 #include "schedule/quota_holder.h"
+#include "schedule/shard_steps.h"
 
 namespace guavabay {
 
@@ -65,6 +66,26 @@
             state.m_workers[id] = std::move(worker);
             state.m_awaited_workers.insert(id);
         }
+        if (workers > 0) {
+            inherit_tasks(state);
+        }
+    }
+
+    /// Adds a submission of a former owner, whose 90 tasks may run on the awaited workers.
+    static void inherit_tasks(shard& state)
+    {
+        auto record = std::make_unique<submission_record>();
+        record->m_id = submission_id("inherited");
+        record->m_organisation = tenant;
+        record->m_inherited = true;
+        submission_step step;
+        step.m_task_count = 90;
+        step.m_demand = one_task;
+        record->m_definition.m_steps.push_back(step);
+        record->m_occurrences.resize(1);
+        create_occurrence(*record, 0);
+        state.m_open_submissions.insert(record.get());
+        state.m_submissions[record->m_id] = std::move(record);
     }
 
     /// Starts as many of the wanted tasks as quota allows; returns how many.
@@ -318,6 +339,24 @@
     }
 }
 
+// Guards against organisations that wait for workers which have not reported although none of their
+// work can run there: all hosts were lost at once, so that the allocator is new as well.
+TEST_CASE("an organisation without inherited work need not wait for silent workers", "[quota]")
+{
+    quota_fixture fixture(2);
+    fixture.replace_owner(0, 4, 500);
+    fixture.replace_owner(1, 4, 500);
+    for (shard& each : fixture.m_shards) {
+        each.m_open_submissions.clear();
+    }
+    fixture.replace_allocator();
+    fixture.run_for(milliseconds(100));
+    fixture.start(0, 200);
+    fixture.run_for(milliseconds(100));
+    CHECK(fixture.start(0, 200) > 0);
+    CHECK(fixture.used(0) == cap);
+}
+
 // Guards against a lowered cap that stops running tasks or lets new ones start.
 TEST_CASE("under a lowered cap nothing starts until enough has ended", "[quota]")
 {
