--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -133,6 +133,7 @@
       m_quota_exchange(context, m_peer_link, m_registry, m_settings.m_bounds,
                        [this] {
                            std::vector<std::shared_ptr<shard_owner>> owners;
+                           owners.reserve(m_owners.size());
                            for (const auto& [shard, owner] : m_owners) {
                                owners.push_back(owner);
                            }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -65,6 +65,7 @@
     slot.m_declared_cpu = request.m_step->m_demand.m_cpu_millis;
     slot.m_organisation = request.m_record->m_organisation;
     slot.m_counted = request.m_step->m_demand;
+    task.m_expected_end = now + slot.m_estimate;
     add_run(state, worker, std::move(slot));
     request.m_record->m_last_start = now;
     if (request.m_record->m_starving) {
@@ -78,7 +79,6 @@
     task.m_run = run;
     task.m_available = false;
     task.m_started_at = now;
-    task.m_expected_end = now + slot.m_estimate;
     worker_order order;
     order.m_kind = worker_order::kind::start;
     order.m_worker = worker.m_info.m_id;
