Share the checks of the tests with hostile clients

They also need exchanges with answers, a worker, log records that an earlier process left, a limit of descriptors of the system, and a stand-in of the store whose pages and values are as large as the platform's.

--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -2,77 +2,38 @@
 
 #include "core/time.h"
 #include "hostile/client_crowd.h"
-#include "hostile/running_program.h"
+#include "hostile/hostile_checks.h"
 #include "net/http_status.h"
 #include "support/loopback.h"
 
 using namespace guavabay;
-using guavabay::test::client_crowd;
-using guavabay::test::dispatch_process;
-using guavabay::test::has_status_in_time;
-using guavabay::test::named_settings;
-using guavabay::test::running_program;
-using guavabay::test::serve_process;
-using guavabay::test::wait_limit;
+using namespace guavabay::test;
 
 // Each case starts the program with low limits, lets a small crowd of clients attack it, and checks
 // that the process is alive, stays within its memory and its descriptors, and answers afterwards.
 
 namespace {
 
-constexpr std::size_t megabyte = 1U << 20U;
-
-/// Memory of the machine of the tests, in MB; a process may never hold more.
-constexpr std::size_t machine_memory_mb = 64;
-
-/// Descriptors of the machine of the tests, and those that are not for sockets.
-constexpr std::size_t machine_descriptors = 260;
-constexpr std::size_t file_descriptors = 200;
-
 /// Enough clients to exceed the memory, each with a share of this size.
 constexpr std::size_t flood_clients = 8;
 constexpr std::size_t flood_bytes = 8 * megabyte;
 
-const named_settings memory_settings{{"memory-mb", std::to_string(machine_memory_mb)}};
-const named_settings descriptor_settings{{"memory-mb", std::to_string(machine_memory_mb)},
-                                         {"max-descriptors", std::to_string(machine_descriptors)}};
-
-/// Limits of the operator's configuration. Bodies are larger than usual, so that a small crowd is
-/// enough.
-const std::string common_limits = R"({"max-header-bytes":16384,"max-body-bytes":2097152,)"
-                                  R"("header-timeout-ms":5000,"idle-timeout-ms":60000})";
-
-const std::string post_header =
-    "POST /queue/0123456789abcdef HTTP/1.1\r\nHost: callers.example\r\n";
 const std::string chunked_header = post_header + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string one_chunk = "1\r\nx\r\n";
 const std::string trailer_piece = "X-Trailer: " + std::string(4096, 'a') + "\r\n";
 const std::string extension_piece(4096, 'a');
 
-std::string header_with_length(std::size_t length)
-{
-    return post_header + "Content-Length: " + std::to_string(length) + "\r\n\r\n";
-}
-
-std::string get_request(const std::string& path)
-{
-    return "GET " + path + " HTTP/1.1\r\nHost: callers.example\r\n\r\n";
-}
-
-/// Waits until the process has taken what was sent: the system's buffers hold megabytes for each
-/// connection. Its memory and its sockets then stay as they are.
-void wait_until_settled(const running_program& program)
-{
-    constexpr int enough = 10;
-    const time_point end = read_clock() + wait_limit;
-    std::pair<std::size_t, std::size_t> last;
-    for (int unchanged = 0; unchanged < enough && read_clock() < end; ++unchanged) {
-        const std::pair now(program.peak_memory_mb(), program.open_sockets());
-        unchanged = now == last ? unchanged : 0;
-        last = now;
-        std::this_thread::sleep_for(milliseconds(100));
+/// A header of fields that take far more memory than bytes, before a body that does not come.
+constexpr std::size_t field_clients = 400;
+constexpr std::size_t max_field_sockets = field_clients + max_sockets;
+const std::string header_of_fields = [] {
+    constexpr std::size_t fields = 4000;
+    std::string text = post_header + "Content-Length: 10\r\n";
+    for (std::size_t i = 0; i < fields; ++i) {
+        text += "a:\r\n";
     }
-}
+    return text + "\r\n";
+}();
 
 /// Sends a byte at a time for longer than a header and a body may take.
 void drip_for_long(client_crowd& clients, char byte)
@@ -84,18 +45,6 @@
     }
 }
 
-/// Checks the process after an attack.
-void check_resources(running_program& program, std::size_t max_sockets)
-{
-    wait_until_settled(program);
-    CHECK(program.is_alive());
-    CHECK(program.peak_memory_mb() <= machine_memory_mb);
-    CHECK(program.open_sockets() <= max_sockets);
-}
-
-/// Sockets that the machine of the tests has.
-constexpr std::size_t max_sockets = machine_descriptors - file_descriptors;
-
 } // namespace
 
 TEST_CASE("endless trailers behind a chunked body do not exhaust the memory", "[hostile_callers]")
--- a/tests/hostile/running_program.cpp
+++ b/tests/hostile/running_program.cpp
@@ -3,17 +3,21 @@
 #include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "core/time.h"
+#include "hostile/hostile_checks.h"
 #include "net/http_status.h"
 #include "platform/operator_records.h"
+#include "platform/worker_calls.h"
 #include "support/local_host.h"
 #include "support/loopback.h"
 
@@ -33,7 +37,8 @@
                                      "Connection: close\r\n\r\n";
 
 /// Replaces the process by the program. Only returns if that fails.
-void run_program(const std::vector<std::string>& arguments, const std::string& settings_path)
+void run_program(const std::vector<std::string>& arguments, const std::string& settings_path,
+                 std::size_t max_descriptors)
 {
     setenv("GUAVABAY_SETTINGS", settings_path.c_str(), 1);
     const int null_device = open("/dev/null", O_RDWR | O_CLOEXEC);
@@ -41,6 +46,10 @@
     dup2(null_device, STDERR_FILENO);
     // The sockets of the test process would count as the program's.
     close_range(STDERR_FILENO + 1, ~0U, 0);
+    if (max_descriptors > 0) {
+        const rlimit limit{max_descriptors, max_descriptors};
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
     std::vector<char*> words{const_cast<char*>("guavabay")};
     for (const std::string& argument : arguments) {
         words.push_back(const_cast<char*>(argument.c_str()));
@@ -57,14 +66,35 @@
            limits + "}";
 }
 
+/// Registration of a worker, as the platform's store holds it.
+std::string encode_listing(const worker_listing& listing)
+{
+    boost::json::array labels;
+    for (const std::string& label : listing.m_labels) {
+        labels.emplace_back(label);
+    }
+    const resources& capacity = listing.m_capacity;
+    return boost::json::serialize(boost::json::object{{"service", listing.m_service.str()},
+                                                      {"address", listing.m_address},
+                                                      {"zone", listing.m_zone.str()},
+                                                      {"machine", listing.m_machine.str()},
+                                                      {"state", "ready"},
+                                                      {"labels", std::move(labels)},
+                                                      {"capacity",
+                                                       {{"cpu", capacity.m_cpu_millis},
+                                                        {"mem-mb", capacity.m_memory_mb},
+                                                        {"gpu", capacity.m_accelerators}}},
+                                                      {"born", listing.m_incarnation_start_ms}});
+}
+
 } // namespace
 
 running_program::running_program(const std::vector<std::string>& arguments,
-                                 const std::string& settings_path)
+                                 const std::string& settings_path, std::size_t max_descriptors)
 {
     m_process = fork();
     if (m_process == 0) {
-        run_program(arguments, settings_path);
+        run_program(arguments, settings_path, max_descriptors);
         _exit(EXIT_FAILURE);
     }
     if (m_process < 0) {
@@ -110,11 +140,23 @@
     return count;
 }
 
-dispatch_process::dispatch_process(const named_settings& settings, const std::string& limits)
+dispatch_process::dispatch_process(const named_settings& settings, const std::string& limits,
+                                   const initial_state& found)
     : m_callers(free_address(m_context)), m_readiness(free_address(m_context)),
       m_peers(free_address(m_context)), m_metrics(free_address(m_context))
 {
     m_store.put(std::string(platform::config_key), make_config(limits));
+    std::size_t number = 0;
+    for (const std::string& record : found.m_log_records) {
+        char key[sizeof "l/service-a/000000000001"];
+        std::snprintf(key, sizeof key, "l/service-a/%012zu", ++number);
+        m_store.put(key, record);
+    }
+    if (found.m_has_worker) {
+        m_worker = std::make_unique<loopback_worker>(m_context, "worker-a");
+        m_store.put(std::string(platform::worker_prefix) + "worker-a",
+                    encode_listing(m_worker->listing(service_id("service-a"))));
+    }
     m_settings_path = write_settings(settings);
     // Started before the thread, because a process with threads must not run much after a fork.
     m_program =
@@ -157,7 +199,19 @@
     return has_status_in_time(m_callers, ordinary_request, http_status::ok);
 }
 
-serve_process::serve_process(const std::vector<std::string>& more_arguments)
+bool dispatch_process::accepts(std::uint64_t id)
+{
+    const std::string body = R"({"task-spec":"x","steps":[{"count":2,"cpu":500,"mem-mb":64}]})";
+    return has_status_in_time(m_callers, submit_request_text(id, body), http_status::ok);
+}
+
+void dispatch_process::stall_store()
+{
+    asio::post(m_context, [this] { m_store.m_stall = true; });
+}
+
+serve_process::serve_process(const std::vector<std::string>& more_arguments,
+                             std::size_t max_descriptors)
 {
     asio::io_context context;
     m_callers = free_address(context);
@@ -181,7 +235,7 @@
                                        "--operator-open",
                                        "yes"};
     arguments.insert(arguments.end(), more_arguments.begin(), more_arguments.end());
-    m_program = std::make_unique<running_program>(arguments, "");
+    m_program = std::make_unique<running_program>(arguments, "", max_descriptors);
 }
 
 unsigned request_status(const ip_address& address, const std::string& request)
--- a/tests/hostile/running_program.h
+++ b/tests/hostile/running_program.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/address.h"
+#include "support/loopback_worker.h"
 #include "support/paced_store.h"
 
 namespace guavabay::test {
@@ -16,8 +17,10 @@
 class running_program {
 public:
     /// Starts the program with arguments and a value for the variable GUAVABAY_SETTINGS; its output
-    /// is discarded. Throws std::runtime_error if it cannot be started.
-    running_program(const std::vector<std::string>& arguments, const std::string& settings_path);
+    /// is discarded. A maximum of open descriptors other than zero is set as the system's limit.
+    /// Throws std::runtime_error if it cannot be started.
+    running_program(const std::vector<std::string>& arguments, const std::string& settings_path,
+                    std::size_t max_descriptors = 0);
     ~running_program();
 
     running_program(const running_program&) = delete;
@@ -40,12 +43,19 @@
 /// Settings of a host as the settings file holds them, by name.
 using named_settings = std::vector<std::pair<std::string, std::string>>;
 
+/// What a process finds when it starts.
+struct initial_state {
+    std::vector<std::string> m_log_records; ///< Of the shard's log, as the store holds them.
+    bool m_has_worker = false;              ///< A worker of the service is registered.
+};
+
 /// A `guavabay dispatch` process on loopback with a stand-in of the store. The settings file holds
 /// the given settings besides the necessary ones; the limits are the object `limits` of the
 /// operator's configuration, as JSON.
 class dispatch_process {
 public:
-    dispatch_process(const named_settings& settings, const std::string& limits);
+    dispatch_process(const named_settings& settings, const std::string& limits,
+                     const initial_state& found = {});
     ~dispatch_process();
 
     dispatch_process(const dispatch_process&) = delete;
@@ -54,12 +64,20 @@
     /// True as soon as an ordinary request is answered; false if none is within the limit of waits.
     [[nodiscard]] bool answers();
 
+    /// True as soon as an ordinary submission, whose id is made from a number, is accepted; false
+    /// if it is not within the limit of waits.
+    [[nodiscard]] bool accepts(std::uint64_t id);
+
+    /// From now on the store's answers stop in the middle.
+    void stall_store();
+
 private:
     /// Writes the settings file and returns its path.
     [[nodiscard]] std::string write_settings(const named_settings& settings) const;
 
     asio::io_context m_context{1};
     paced_store m_store{m_context};
+    std::unique_ptr<loopback_worker> m_worker;
     std::string m_settings_path;
     std::thread m_store_thread;
 
@@ -73,7 +91,8 @@
 
 /// A `guavabay serve` process on loopback. Its store cannot be reached.
 struct serve_process {
-    explicit serve_process(const std::vector<std::string>& more_arguments);
+    explicit serve_process(const std::vector<std::string>& more_arguments,
+                           std::size_t max_descriptors = 0);
 
     ip_address m_callers;
     ip_address m_operators;
--- a/tests/support/paced_store.cpp
+++ b/tests/support/paced_store.cpp
@@ -20,8 +20,12 @@
 /// Interval at which a waiting watch looks for changes.
 constexpr milliseconds watch_poll_interval{2};
 
-/// Records on one page of a range.
+/// Records on one page of a range, and bytes of their values.
 constexpr std::size_t page_items = 500;
+constexpr std::size_t page_bytes = 1U << 20U;
+
+/// Largest value of a record, in bytes.
+constexpr std::size_t max_value_bytes = 1U << 20U;
 
 asio::awaitable<void> wait_for(asio::io_context& context, duration length)
 {
@@ -128,11 +132,13 @@
 {
     json::array items;
     bool has_more = false;
+    std::size_t bytes = 0;
     for (const auto& [key, item] : m_items) {
         if (!key.starts_with(prefix) || key <= after) {
             continue;
         }
-        if (items.size() == page_items) {
+        bytes += item.m_value.size();
+        if (items.size() == page_items || (bytes > page_bytes && !items.empty())) {
             has_more = true;
             break;
         }
@@ -177,6 +183,11 @@
         result["items"] = std::move(items);
         return http_status::precondition_failed;
     }
+    for (const json::value& put : body.at("puts").as_array()) {
+        if (from_base64(text_field(put.as_object(), "value")).value().size() > max_value_bytes) {
+            return http_status::bad_request;
+        }
+    }
     for (const json::value& put : body.at("puts").as_array()) {
         const json::object& fields = put.as_object();
         write(text_field(fields, "key"), from_base64(text_field(fields, "value")).value(),
@@ -264,11 +275,13 @@
     socket.set_option(asio::ip::tcp::no_delay(true), error);
     beast::flat_buffer buffer;
     while (true) {
-        http::request<http::string_body> request;
-        co_await http::async_read(socket, buffer, request, to_coroutine(error));
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        co_await http::async_read(socket, buffer, parser, to_coroutine(error));
         if (error) {
             co_return;
         }
+        http::request<http::string_body> request = parser.release();
         if (number < m_first_live) {
             continue;
         }
