Count the fields of a header before they are parsed

Callers saw: a process that ended. 400 connections, each with a header of 4,000 fields of four bytes inside max-header-bytes and a body that stops short, took 132 MB of a machine with 64 MB (139 MB of serve). Cause: the budget counted the receive buffer and the body, not the parsed fields, which take some 80 bytes each; and the receive buffer with its content, not its capacity.

The lines of a header now count before the parser makes fields of them, each byte looked at once. A connection that the budget closes frees its memory when its pending operation ends; until then no further header is parsed, since all of a crowd may be in the queue of the event loop already.

--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -295,11 +295,10 @@
         parser.body_limit(m_limits.m_max_body_bytes);
         // Trailers and chunk extensions have to fit into the buffer.
         buffer.max_size(std::max<std::size_t>(m_limits.m_max_header_bytes, buffer.size()));
-        std::uint64_t received_bytes = 0;
+        read_progress progress;
         error = co_await read_request(
             socket, *m_budget, *connection, buffer, parser, read_until::end,
-            max_request_bytes(m_limits.m_max_header_bytes, m_limits.m_max_body_bytes),
-            received_bytes);
+            max_request_bytes(m_limits.m_max_header_bytes, m_limits.m_max_body_bytes), progress);
         caller_answer answer;
         unsigned version = 11;
         if (error) {
@@ -323,7 +322,7 @@
         persistent = persistent && !m_draining;
         const auto response = make_response(std::move(answer), version, persistent);
         enter_state(*m_budget, *connection, connection_state::writing);
-        if (hold(*m_budget, *connection, response.body().size())) {
+        if (hold(*m_budget, *connection, response.body().size() + buffer.capacity())) {
             co_await http::async_write(socket, response, to_coroutine(error));
         }
         --m_requests_in_flight;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -181,11 +181,11 @@
 {
     const std::uint64_t max_bytes =
         max_request_bytes(m_limits.m_max_header_bytes, m_limits.m_max_body_bytes);
-    std::uint64_t received_bytes = 0;
+    read_progress progress;
     beast::tcp_stream& stream = connection.m_stream;
     stream.expires_after(m_limits.m_header_patience);
     error_code error = co_await read_request(stream, *m_budget, connection, buffer, parser,
-                                             read_until::header, max_bytes, received_bytes);
+                                             read_until::header, max_bytes, progress);
     const bool invited =
         !error && beast::iequals(parser.get()[http::field::expect], "100-continue");
     if (invited) {
@@ -195,7 +195,7 @@
     if (!error && !parser.is_done()) {
         stream.expires_after(m_limits.m_body_patience);
         error = co_await read_request(stream, *m_budget, connection, buffer, parser,
-                                      read_until::end, max_bytes, received_bytes);
+                                      read_until::end, max_bytes, progress);
     }
     co_return connection.m_close_reason ? asio::error::operation_aborted : error;
 }
--- a/src/net/connection_budget.cpp
+++ b/src/net/connection_budget.cpp
@@ -265,6 +265,11 @@
     return !connection.m_close_reason;
 }
 
+bool is_over(const connection_budget& budget)
+{
+    return budget.m_bytes > budget.m_limits.m_max_bytes;
+}
+
 void close_expired(connection_budget& budget, budget_port port, const state_timeouts& timeouts)
 {
     constexpr std::array<budget_reason, connection_state_count> reasons{
--- a/src/net/connection_budget.h
+++ b/src/net/connection_budget.h
@@ -125,6 +125,9 @@
 /// one. Returns false if this one is closed.
 bool hold(connection_budget& budget, budgeted_connection& connection, std::size_t bytes);
 
+/// True while more is held than allowed, because connections that were closed have not left yet.
+bool is_over(const connection_budget& budget);
+
 /// Closes the connections of a port that have been in their states for longer than allowed.
 void close_expired(connection_budget& budget, budget_port port, const state_timeouts& timeouts);
 
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -262,11 +262,11 @@
         parser.eager(true);
         parser.header_limit(max_header_bytes);
         parser.body_limit(max_body_bytes);
-        std::uint64_t received_bytes = 0;
+        read_progress progress;
         stream.expires_after(read_patience);
-        error = co_await read_request(
-            stream, *m_budget, *connection, buffer, parser, read_until::end,
-            max_request_bytes(max_header_bytes, max_body_bytes), received_bytes);
+        error =
+            co_await read_request(stream, *m_budget, *connection, buffer, parser, read_until::end,
+                                  max_request_bytes(max_header_bytes, max_body_bytes), progress);
         if (error) {
             break;
         }
--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -235,3 +235,23 @@
     check_resources(*host.m_program, max_sockets);
     CHECK(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
 }
+
+TEST_CASE("headers of many small fields do not exhaust the memory", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    client_crowd clients(host.m_callers, field_clients);
+    clients.flood(header_of_fields + "x", "", (header_of_fields + "x").size());
+    check_resources(*host.m_program, max_field_sockets);
+    CHECK(host.answers());
+}
+
+TEST_CASE("headers of many small fields do not exhaust the memory of serve", "[hostile_callers]")
+{
+    const serve_process host({"--max-held-bytes", "16777216"});
+    REQUIRE(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+    client_crowd clients(host.m_callers, field_clients);
+    clients.flood(header_of_fields + "x", "", (header_of_fields + "x").size());
+    check_resources(*host.m_program, max_field_sockets);
+    CHECK(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+}
