Refuse bodies that the memory can never hold with 413

A configuration may allow larger requests than the host's memory bears, also while connections are open. Callers saw such a body read until the budget closed the connection with 503 and Retry-After, again and again, at the expense of all other connections. A header may now have a sixteenth and a body a quarter of the bytes that the process may hold; what is larger gets 431 and 413 at once.

--- a/src/dispatch/caller_server.cpp
+++ b/src/dispatch/caller_server.cpp
@@ -291,14 +291,16 @@
     while (persistent) {
         request_parser parser;
         parser.eager(true);
-        parser.header_limit(m_limits.m_max_header_bytes);
-        parser.body_limit(m_limits.m_max_body_bytes);
+        const std::uint32_t max_header_bytes = header_limit(*m_budget, m_limits.m_max_header_bytes);
+        const std::uint64_t max_body_bytes = body_limit(*m_budget, m_limits.m_max_body_bytes);
+        parser.header_limit(max_header_bytes);
+        parser.body_limit(max_body_bytes);
         // Trailers and chunk extensions have to fit into the buffer.
-        buffer.max_size(std::max<std::size_t>(m_limits.m_max_header_bytes, buffer.size()));
+        buffer.max_size(std::max<std::size_t>(max_header_bytes, buffer.size()));
         read_progress progress;
-        error = co_await read_request(
-            socket, *m_budget, *connection, buffer, parser, read_until::end,
-            max_request_bytes(m_limits.m_max_header_bytes, m_limits.m_max_body_bytes), progress);
+        error =
+            co_await read_request(socket, *m_budget, *connection, buffer, parser, read_until::end,
+                                  max_request_bytes(max_header_bytes, max_body_bytes), progress);
         caller_answer answer;
         unsigned version = 11;
         if (error) {
--- a/src/net/connection_budget.cpp
+++ b/src/net/connection_budget.cpp
@@ -40,6 +40,10 @@
 constexpr std::size_t remaining_numerator = 7;
 constexpr std::size_t remaining_denominator = 8;
 
+/// A header and a body may have these fractions of the limit of bytes.
+constexpr std::size_t header_divisor = 16;
+constexpr std::size_t body_divisor = 4;
+
 constexpr std::size_t index_of(connection_state state)
 {
     return static_cast<std::size_t>(state);
@@ -198,6 +202,17 @@
     return limits;
 }
 
+std::uint32_t header_limit(const connection_budget& budget, std::uint32_t configured_bytes)
+{
+    return static_cast<std::uint32_t>(
+        std::min<std::size_t>(configured_bytes, budget.m_limits.m_max_bytes / header_divisor));
+}
+
+std::uint64_t body_limit(const connection_budget& budget, std::uint64_t configured_bytes)
+{
+    return std::min<std::uint64_t>(configured_bytes, budget.m_limits.m_max_bytes / body_divisor);
+}
+
 std::optional<budget_reason> admit(connection_budget& budget, budgeted_connection& connection)
 {
     connection_budget::port& port = port_of(budget, connection);
--- a/src/net/connection_budget.h
+++ b/src/net/connection_budget.h
@@ -108,6 +108,12 @@
     std::array<std::uint64_t, budget_reason_count> m_closed{};
 };
 
+/// Largest header and largest body that a port takes, in bytes: what the configuration allows, but
+/// no more than a fraction of what the process may hold, so that one request does not end all
+/// others.
+std::uint32_t header_limit(const connection_budget& budget, std::uint32_t configured_bytes);
+std::uint64_t body_limit(const connection_budget& budget, std::uint64_t configured_bytes);
+
 /// Admits a new connection, whose port and source are set, or returns why it is refused. If the
 /// port is full, the slowest connection is closed in its favour; the new one is refused if there
 /// is none that is slow.
--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -273,3 +273,15 @@
     check_resources(*host.m_program, max_sockets);
     CHECK(host.answers());
 }
+
+TEST_CASE("a body that the memory can never hold is refused for good", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings,
+                          R"({"max-body-bytes":1073741824,"header-timeout-ms":60000})");
+    REQUIRE(host.answers());
+    constexpr std::size_t body_bytes = 512 * megabyte;
+    const auto answers = exchange(host.m_callers, {header_with_length(body_bytes)}, 1);
+    CHECK(answers.front().m_status == http_status::too_large);
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
