Leave descriptors of serve to all of its ports

Callers and operators saw a host that took no connections: with 96 descriptors, 120 idle connections on one port used all of them, and a connection that cannot be accepted replaces no idle one. Cause: the limits of connections did not follow from the descriptors that the system grants. Callers now have a third of them (each request needs a second one for its endpoint) and operators an eighth, if that is less than configured. A failed accept on the port for peers is followed by a pause, so that it does not keep the processor busy.

--- a/src/app/serve.cpp
+++ b/src/app/serve.cpp
@@ -10,6 +10,7 @@
 #include "core/result.h"
 #include "edge/edge_server.h"
 #include "log/log.h"
+#include "net/descriptor_shares.h"
 #include "operator_api/operator_server.h"
 
 namespace guavabay {
@@ -19,6 +20,21 @@
 constexpr std::size_t ring_capacity = 4096;
 constexpr std::size_t operator_ring_capacity = 1024;
 
+/// Operators' connections at one time.
+constexpr std::size_t max_operator_connections = 256;
+
+/// Lowers the limit of callers' connections to their share of the process's descriptors.
+edge_limits fit_to_descriptors(edge_limits limits)
+{
+    const std::size_t share = share_descriptors(descriptor_limit()).m_callers;
+    if (share < limits.m_max_connections) {
+        log_warning("edge: fewer connections than configured, the system limits descriptors max=" +
+                    std::to_string(share));
+        limits.m_max_connections = share;
+    }
+    return limits;
+}
+
 /// The threads of an entry host's process and the rings between them.
 class entry_process {
 public:
@@ -40,10 +56,12 @@
                   return m_control_from_edge.try_send(node_event(std::move(event)));
               },
               m_metrics),
-          m_edge(m_edge_context, settings.m_caller_address, settings.m_limits, m_flow, m_shared,
-                 [this] { send_edge_idle(); }),
+          m_edge(m_edge_context, settings.m_caller_address, fit_to_descriptors(settings.m_limits),
+                 m_flow, m_shared, [this] { send_edge_idle(); }),
           m_operators(
-              m_operator_context, settings.m_operator_address, settings.m_operator_key,
+              m_operator_context, settings.m_operator_address,
+              std::min(max_operator_connections, share_descriptors(descriptor_limit()).m_operators),
+              settings.m_operator_key,
               [this](operator_request&& request) {
                   return m_control_from_operators.try_send(node_event(std::move(request)));
               },
--- a/src/operator_api/operator_server.cpp
+++ b/src/operator_api/operator_server.cpp
@@ -14,7 +14,6 @@
 constexpr milliseconds accept_retry_pause{50};
 constexpr std::uint64_t max_body_bytes = 1U << 20U;
 constexpr std::uint32_t max_header_bytes = 8U << 10U;
-constexpr std::size_t max_connections = 256;
 
 /// Bytes of incomplete calls and of answers that are not taken, of all connections together.
 constexpr std::size_t max_held_bytes = 32U << 20U;
@@ -205,8 +204,9 @@
 };
 
 operator_server::operator_server(asio::io_context& context, const ip_address& address,
-                                 std::string key, request_sender sender,
-                                 const request_metrics& metrics, shared_state& shared)
+                                 std::size_t max_connections, std::string key,
+                                 request_sender sender, const request_metrics& metrics,
+                                 shared_state& shared)
     : m_context(context), m_acceptor(context, address.tcp()), m_key(std::move(key)),
       m_send(std::move(sender)), m_metrics(metrics), m_shared(shared),
       m_budget(std::make_shared<connection_budget>())
--- a/src/operator_api/operator_server.h
+++ b/src/operator_api/operator_server.h
@@ -21,9 +21,11 @@
     /// Sends a call to the control thread; false when its ring is full.
     using request_sender = std::function<bool(operator_request&&)>;
 
-    /// Opens the operators' address. Throws boost::system::system_error when it is taken.
-    operator_server(asio::io_context& context, const ip_address& address, std::string key,
-                    request_sender sender, const request_metrics& metrics, shared_state& shared);
+    /// Opens the operators' address for at most a number of connections at one time. Throws
+    /// boost::system::system_error when it is taken.
+    operator_server(asio::io_context& context, const ip_address& address,
+                    std::size_t max_connections, std::string key, request_sender sender,
+                    const request_metrics& metrics, shared_state& shared);
 
     /// Takes the control thread's answer to a call.
     void take(operator_answer&& answer);
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t max_large_transfers = 64;
 constexpr std::chrono::seconds large_patience{5};
 
+/// Pause after a connection could not be accepted.
+constexpr std::chrono::milliseconds accept_retry_pause{50};
+
 /// Bytes of large packets that may be incomplete at one time.
 constexpr std::size_t max_large_bytes = 4 * max_packet_bytes;
 
@@ -108,7 +111,14 @@
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (!error && m_large_open < max_large_transfers) {
+        if (error) {
+            // Without a pause a lack of descriptors would keep the processor busy.
+            log_warning("peer: accept failed: " + error.message());
+            asio::steady_timer pause(m_context, accept_retry_pause);
+            co_await pause.async_wait(to_coroutine(error));
+            continue;
+        }
+        if (m_large_open < max_large_transfers) {
             asio::co_spawn(m_context, receive_large(std::move(socket)), asio::detached);
         }
     }
--- a/tests/hostile/hostile_callers_test.cpp
+++ b/tests/hostile/hostile_callers_test.cpp
@@ -285,3 +285,28 @@
     check_resources(*host.m_program, max_sockets);
     CHECK(host.answers());
 }
+
+TEST_CASE("idle connections leave descriptors of serve for other ports", "[hostile_callers]")
+{
+    constexpr std::size_t system_limit = 96;
+    const serve_process host({}, system_limit);
+    REQUIRE(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+    constexpr std::size_t count = 120;
+    const client_crowd clients(host.m_callers, count);
+    check_resources(*host.m_program, system_limit);
+    CHECK(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+    CHECK(has_status_in_time(host.m_operators, get_request("/live"), http_status::ok));
+}
+
+TEST_CASE("idle connections of operators leave descriptors of serve for callers",
+          "[hostile_callers]")
+{
+    constexpr std::size_t system_limit = 96;
+    const serve_process host({}, system_limit);
+    REQUIRE(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+    constexpr std::size_t count = 120;
+    const client_crowd clients(host.m_operators, count);
+    check_resources(*host.m_program, system_limit);
+    CHECK(has_status_in_time(host.m_callers, get_request("/-/live"), http_status::ok));
+    CHECK(has_status_in_time(host.m_operators, get_request("/live"), http_status::ok));
+}
