Make the elements of a decoded list only when they are there

A frame on the port for peers took 785 MB: cereal makes all announced elements of a list before it reads the first, the check only compares their number with the bytes that are left, and a step takes some 180 bytes. A frame of empty texts, four bytes each, took 74 MB of 64. Lists now grow with the elements that are read, and all lists of a frame or record together may take 16 MB.

--- a/src/peer/bounded_archive.h
+++ b/src/peer/bounded_archive.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 namespace guavabay {
 
@@ -31,8 +32,13 @@
     std::string& m_bytes;
 };
 
+/// Memory that the elements of decoded lists may take together, in bytes. An element may take far
+/// more than its encoding: an empty text is four bytes long.
+inline constexpr std::size_t max_decoded_bytes = 16U << 20U;
+
 /// Reads what bounded_output_archive wrote. A length that exceeds the bytes that are left is
-/// refused before anything is allocated for it.
+/// refused before anything is allocated for it, and lists grow only with the elements that are
+/// there, up to max_decoded_bytes.
 class bounded_input_archive
     : public cereal::InputArchive<bounded_input_archive, cereal::AllowEmptyClassElision> {
 public:
@@ -64,8 +70,21 @@
         }
     }
 
+    /// Counts the memory of a list's element before it is read.
+    void count_element(std::size_t bytes)
+    {
+        m_decoded_bytes += bytes;
+        if (m_decoded_bytes > max_decoded_bytes) {
+            throw cereal::Exception("the lists take too much memory");
+        }
+    }
+
+    /// Memory of the elements of lists so far, in bytes.
+    [[nodiscard]] std::size_t decoded_bytes() const { return m_decoded_bytes; }
+
 private:
     std::string_view m_rest;
+    std::size_t m_decoded_bytes = 0;
 };
 
 static_assert(std::endian::native == std::endian::little, "the format is the machine's own");
@@ -116,6 +135,22 @@
     tag.size = length;
 }
 
+/// Reads a list whose elements are not plain numbers, one element after the other. Preferred over
+/// cereal's function, which makes all announced elements before it reads the first.
+template <typename T, typename Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>> load(bounded_input_archive& archive,
+                                                std::vector<T, Allocator>& list)
+{
+    std::uint32_t length = 0;
+    archive.read(&length, sizeof length);
+    archive.check_length(length);
+    list.clear();
+    for (std::uint32_t i = 0; i < length; ++i) {
+        archive.count_element(sizeof(T));
+        archive(list.emplace_back());
+    }
+}
+
 /// Writes the elements of a string or a list of numbers.
 template <typename T>
 void save(bounded_output_archive& archive, const cereal::BinaryData<T>& data)
