Bound the addresses of hosts that greetings name

A host took 187 MB of 64 from six greetings that named 150,000 hosts each: the table of peers had no limit, and entries stay for 20 s. It now holds 4,096 addresses beside those of the settings and of the hosts that the store lists, and a greeting may name as many as a host sends, which are 16.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -173,7 +173,7 @@
     log_info("dispatch: started host=" + m_self.m_host.str() + " zone=" + m_self.m_zone.str() +
              " callers=" + format_address(m_settings.m_caller_address));
     for (const std::string& seed : m_settings.m_seeds) {
-        add_peer(m_peer_table, seed, read_boot_clock());
+        add_member(m_peer_table, seed, read_boot_clock());
     }
     m_operator_records.start();
     m_registry.start();
@@ -191,7 +191,7 @@
     m_settings.m_seeds = settings.m_seeds;
     m_peer_table.m_seeds = settings.m_seeds;
     for (const std::string& seed : m_settings.m_seeds) {
-        add_peer(m_peer_table, seed, read_boot_clock());
+        add_member(m_peer_table, seed, read_boot_clock());
     }
     log_info("dispatch: settings reloaded seeds=" + std::to_string(settings.m_seeds.size()));
 }
@@ -365,8 +365,9 @@
     found->second.m_last_heard_at = now;
     found->second.m_store_answers = received.m_store_answers;
     found->second.m_config_revision = received.m_config_revision;
-    for (const std::string& address : received.m_peers) {
-        add_peer(m_peer_table, address, now);
+    const std::size_t announced = std::min(received.m_peers.size(), max_announced_peers);
+    for (std::size_t i = 0; i < announced; ++i) {
+        add_peer(m_peer_table, received.m_peers[i], now);
     }
     if (!received.m_config.empty()) {
         const bool is_newer = received.m_config_revision > config_revision();
@@ -423,7 +424,7 @@
         std::vector<std::string> members;
         for (const auto& [host, record] : m_registry.members()) {
             members.push_back(record.m_peer_address);
-            add_peer(m_peer_table, record.m_peer_address, now);
+            add_member(m_peer_table, record.m_peer_address, now);
         }
         remove_stale_peers(m_peer_table, members, now);
         const greeting own_greeting = make_greeting(false);
--- a/src/dispatch/peer_table.cpp
+++ b/src/dispatch/peer_table.cpp
@@ -19,6 +19,10 @@
 /// to removal, so that hosts do not remind each other of one that has left.
 constexpr seconds announce_age{10};
 
+/// Limits of the addresses that are known, and of the length of one.
+constexpr std::size_t max_peers = 4096;
+constexpr std::size_t max_address_length = 64;
+
 /// Reduces a list to at most max_count entries. Successive turns rotate through all of them.
 std::vector<std::string> take_turn(std::vector<std::string> all, std::size_t max_count,
                                    std::uint64_t turn)
@@ -34,13 +38,20 @@
 
 } // namespace
 
-void add_peer(peer_table& table, const std::string& address, time_point now)
+void add_member(peer_table& table, const std::string& address, time_point now)
 {
     if (address != table.m_own_address && !address.empty()) {
         table.m_peers.try_emplace(address, peer_state{std::nullopt, false, 0, now});
     }
 }
 
+void add_peer(peer_table& table, const std::string& address, time_point now)
+{
+    if (address.size() <= max_address_length && table.m_peers.size() < max_peers) {
+        add_member(table, address, now);
+    }
+}
+
 void record_store_report(peer_table& table, const std::string& address, bool store_answers,
                          time_point now)
 {
--- a/src/dispatch/peer_table.h
+++ b/src/dispatch/peer_table.h
@@ -25,10 +25,14 @@
     std::map<std::string, peer_state> m_peers;
 };
 
-/// Adds the address of a possible peer, unless it is empty, already known or the host's own. It
-/// counts as not heard from.
+/// Adds the address of a possible peer, unless it is empty, too long to be one, already known or
+/// the host's own, or the table is full. It counts as not heard from.
 void add_peer(peer_table& table, const std::string& address, time_point now);
 
+/// Adds the address of a host that is in the settings or registered in the store, also to a full
+/// table.
+void add_member(peer_table& table, const std::string& address, time_point now);
+
 /// Records what a peer reported about the store.
 void record_store_report(peer_table& table, const std::string& address, bool store_answers,
                          time_point now);
--- a/tests/hostile/hostile_peers_test.cpp
+++ b/tests/hostile/hostile_peers_test.cpp
@@ -14,12 +14,33 @@
 
 namespace {
 
+/// A port that takes connections and never answers.
+struct silent_listener {
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor{m_context, {asio::ip::make_address("127.0.0.1"), 0}};
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+};
+
 /// Text of numbers as the inner protocol has them.
 std::string little_endian(std::uint32_t number)
 {
     return {reinterpret_cast<const char*>(&number), sizeof number};
 }
 
+std::string hold_frame(std::uint64_t number, const std::string& address, std::size_t name_bytes)
+{
+    worker_hold_request request;
+    request.m_hold.m_worker = worker_id(std::string(name_bytes, 'w'));
+    request.m_hold.m_address = address;
+    constexpr std::uint32_t an_hour_ms = 3600000;
+    request.m_wait_ms = an_hour_ms;
+    return encode_frame(number, request);
+}
+
 } // namespace
 
 TEST_CASE("a list whose length the data does not hold takes no memory", "[hostile_callers]")
@@ -56,3 +77,24 @@
     check_resources(*host.m_program, max_sockets);
     CHECK(host.answers());
 }
+
+TEST_CASE("names of ever new hosts do not exhaust the memory", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t frames = 6;
+    constexpr std::size_t names = 150000;
+    for (std::size_t i = 0; i < frames; ++i) {
+        greeting message;
+        message.m_host = "host-b";
+        message.m_address = "127.0.0.1:9";
+        for (std::size_t k = 0; k < names; ++k) {
+            message.m_peers.push_back("host-" + std::to_string(i * names + k) + ".example:1");
+        }
+        client_crowd clients(host.m_peers, 1);
+        const std::string frame = encode_frame(0, message);
+        clients.flood(frame, "", frame.size());
+    }
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
