Bound the connections to peers and the calls that are handled for them

A host that peers, or whoever reaches their port, send frames to: - kept a connection to each host that greeted it: 209 sockets of 60 after 200 greetings. It now keeps twice as many as it takes from peers and closes the one that was used least recently. - held the messages of calls that it was still handling in no budget: 30 calls of 4 MB took 142 MB of 64. What is handled at one time is now counted, by the memory that it takes; further calls wait in their connections, unread. - took a connection of its own for each call that it relays, for as long as the peer said: 409 sockets of 60 for 400 holds of an hour. An eighth of the sockets is now for relayed calls, which wait in the order of their arrival, and their time is limited.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -36,6 +36,9 @@
 /// Interval at which owners that are new get the whole worker list.
 constexpr milliseconds worker_supply_interval{100};
 
+/// Longest time of a call to the store that is made for a peer.
+constexpr milliseconds max_relayed_call_timeout{5000};
+
 /// Interval of greetings to peers, and the limit of peers that are greeted in one round.
 constexpr milliseconds greeting_interval{500};
 constexpr std::size_t max_greetings_per_round = 8;
@@ -117,6 +120,9 @@
                                                               m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
       m_worker_client(m_client),
+      m_relayed_calls(context,
+                      derive_budget_limits(m_settings.m_memory_mb, m_settings.m_max_descriptors)
+                          .m_relayed_calls),
       m_peer_link(
           context, m_settings.m_peer_address,
           [this](host_message message, bool reply_expected) {
@@ -845,8 +851,9 @@
 asio::awaitable<host_message> dispatcher::relay_store_call(relay_request request)
 {
     http_call store_call{request.m_method, request.m_target, {}, std::move(request.m_body)};
-    const http_answer answer =
-        co_await m_store.call_direct(std::move(store_call), milliseconds(request.m_timeout_ms));
+    const milliseconds timeout =
+        std::min(milliseconds(request.m_timeout_ms), max_relayed_call_timeout);
+    const http_answer answer = co_await m_store.call_direct(std::move(store_call), timeout);
     relay_reply reply;
     reply.m_progress = static_cast<std::uint8_t>(answer.m_progress);
     reply.m_status = answer.m_status;
@@ -865,14 +872,17 @@
         co_return host_message(make_greeting(config_revision() > received->m_config_revision));
     }
     if (auto* call = std::get_if<relay_request>(&message)) {
+        const call_limiter::permit permit = co_await m_relayed_calls.acquire();
         host_message reply = co_await relay_store_call(std::move(*call));
         co_return std::optional<host_message>(std::move(reply));
     }
     if (auto* order = std::get_if<worker_order_request>(&message)) {
+        const call_limiter::permit permit = co_await m_relayed_calls.acquire();
         host_message reply = co_await m_worker_client.relay_order(std::move(*order));
         co_return std::optional<host_message>(std::move(reply));
     }
     if (auto* hold = std::get_if<worker_hold_request>(&message)) {
+        const call_limiter::permit permit = co_await m_relayed_calls.acquire();
         host_message reply = co_await m_worker_client.relay_hold(std::move(*hold));
         co_return std::optional<host_message>(std::move(reply));
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -16,6 +16,7 @@
 #include "dispatch/shard_owner.h"
 #include "dispatch/worker_client.h"
 #include "dispatch/worker_directory.h"
+#include "net/call_limiter.h"
 
 namespace guavabay {
 
@@ -104,6 +105,7 @@
     http_client m_client;
     store_client m_store;
     worker_client m_worker_client;
+    call_limiter m_relayed_calls; ///< To workers and to the store, for peers.
     host_link m_peer_link;
     peer_table m_peer_table;
     config_fetch m_config_fetch;
--- a/src/dispatch/worker_client.cpp
+++ b/src/dispatch/worker_client.cpp
@@ -13,6 +13,9 @@
 /// Added to the time that a worker may delay its answer to a hold, for the time limit of the call.
 constexpr milliseconds hold_timeout_margin{600};
 
+/// Longest time for which a worker may delay its answer to a hold that is made for a peer.
+constexpr milliseconds max_relayed_wait{2000};
+
 /// Added to the time limit of a relayed call for the round trip to the relay.
 constexpr milliseconds relay_timeout_margin{150};
 
@@ -140,8 +143,9 @@
 
 asio::awaitable<host_message> worker_client::relay_hold(worker_hold_request request)
 {
-    hold_result result = co_await hold_directly(std::move(request.m_hold), request.m_token,
-                                                milliseconds(request.m_wait_ms));
+    hold_result result =
+        co_await hold_directly(std::move(request.m_hold), request.m_token,
+                               std::min(milliseconds(request.m_wait_ms), max_relayed_wait));
     worker_hold_reply reply;
     reply.m_outcome = result.second;
     if (result.first) {
--- a/src/net/connection_budget.cpp
+++ b/src/net/connection_budget.cpp
@@ -27,6 +27,12 @@
 constexpr std::size_t address_share = 25;
 constexpr std::size_t all_address_shares = 26;
 
+/// Each order to a worker, and each call that is made for a peer, takes a connection of its own.
+constexpr std::size_t order_divisor = 4;
+constexpr std::size_t min_orders = 8;
+constexpr std::size_t relay_divisor = 8;
+constexpr std::size_t min_relayed_calls = 4;
+
 constexpr std::size_t min_peer_connections = 8;
 constexpr std::size_t min_small_port_connections = 4;
 constexpr std::size_t min_caller_connections = 16;
@@ -199,6 +205,8 @@
     limits.m_max_bytes = memory_mb * megabyte / memory_divisor;
     limits.m_ports = {
         {{callers, per_address_limit(callers)}, {small, small}, {small, small}, {peers, peers}}};
+    limits.m_orders = std::max(min_orders, sockets / order_divisor);
+    limits.m_relayed_calls = std::max(min_relayed_calls, sockets / relay_divisor);
     return limits;
 }
 
--- a/src/net/connection_budget.h
+++ b/src/net/connection_budget.h
@@ -55,6 +55,8 @@
 struct budget_limits {
     std::size_t m_max_bytes = 0;
     std::array<port_limits, budget_port_count> m_ports{};
+    std::size_t m_relayed_calls = 0; ///< Calls that are made for peers at one time.
+    std::size_t m_orders = 0;        ///< Orders to workers that are under way at one time.
 };
 
 /// Derives the limits from a machine's memory and descriptors.
--- a/src/peer/host_link.cpp
+++ b/src/peer/host_link.cpp
@@ -35,6 +35,20 @@
 /// The system gives memory only to the part that is filled.
 constexpr std::size_t min_reserved_bytes = 262144;
 
+/// Calls of peers that are handled at one time. Further ones wait in their connections.
+constexpr std::size_t max_calls_in_work = 2048;
+
+/// Share of the budget's memory for the messages of these calls. A message that is larger is
+/// handled alone.
+constexpr std::size_t work_memory_divisor = 4;
+
+/// Interval at which a connection looks for room for its next call.
+constexpr milliseconds room_poll_interval{5};
+
+/// Connections to peers, as a multiple of those from peers, and how many there may always be.
+constexpr std::size_t channel_factor = 2;
+constexpr std::size_t min_channels = 16;
+
 /// Limits of the budget that is used where none is given.
 constexpr std::size_t default_memory_mb = 160;
 constexpr std::size_t default_descriptors = 4100;
@@ -142,6 +156,7 @@
     bool m_connected = false;
     bool m_over = false;
     std::size_t m_timeouts_in_row = 0;
+    time_point m_used_at{}; ///< When a message was last queued.
 };
 
 /// A connection of a peer, counted in the budget while it exists. Shared by its calls, which may be
@@ -191,10 +206,23 @@
     bool m_writing = false;
 };
 
+host_link::counted_call::counted_call(std::shared_ptr<work_in_progress> work, std::size_t bytes)
+    : m_work(std::move(work)), m_bytes(bytes)
+{
+    ++m_work->m_calls;
+    m_work->m_bytes += m_bytes;
+}
+
+host_link::counted_call::~counted_call()
+{
+    --m_work->m_calls;
+    m_work->m_bytes -= m_bytes;
+}
+
 host_link::host_link(asio::io_context& context, const ip_address& address, request_handler handler,
                      std::shared_ptr<connection_budget> budget)
     : m_context(context), m_acceptor(context, address.tcp()), m_handler(std::move(handler)),
-      m_budget(std::move(budget))
+      m_budget(std::move(budget)), m_work(std::make_shared<work_in_progress>())
 {
     if (!m_budget) {
         m_budget = std::make_shared<connection_budget>();
@@ -219,6 +247,30 @@
     counts.m_received_bytes += frame.m_bytes;
 }
 
+std::size_t host_link::max_channels() const
+{
+    const port_limits& limits =
+        m_budget->m_limits.m_ports.at(static_cast<std::size_t>(budget_port::peers));
+    return std::max(min_channels, channel_factor * limits.m_connections);
+}
+
+bool host_link::close_unused_channel()
+{
+    std::shared_ptr<outgoing> oldest;
+    for (const auto& [address, channel] : m_channels) {
+        const bool is_unused = channel->m_calls.empty() && !channel->m_over;
+        if (is_unused && (!oldest || channel->m_used_at < oldest->m_used_at)) {
+            oldest = channel;
+        }
+    }
+    if (!oldest) {
+        return false;
+    }
+    m_channels.erase(oldest->m_address);
+    oldest->give_up();
+    return true;
+}
+
 std::shared_ptr<host_link::outgoing> host_link::channel_to(const std::string& address)
 {
     const auto found = m_channels.find(address);
@@ -226,7 +278,7 @@
         return found->second;
     }
     const std::optional<ip_address> target = parse_address(address);
-    if (!target) {
+    if (!target || (m_channels.size() >= max_channels() && !close_unused_channel())) {
         return nullptr;
     }
     auto channel = std::make_shared<outgoing>(m_context);
@@ -238,6 +290,7 @@
 
 void host_link::enqueue(const std::shared_ptr<outgoing>& channel, std::string bytes)
 {
+    channel->m_used_at = read_boot_clock();
     channel->m_queue_bytes += bytes.size();
     channel->m_queue.push_back(std::move(bytes));
     channel->m_wake.cancel();
@@ -451,16 +504,41 @@
         if (!frame) {
             co_return;
         }
-        shared->m_received_bytes = received.m_bytes.size();
-        shared->count_bytes();
         count_received(*frame);
+        // The buffer of a large frame would otherwise stay beside its message.
+        if (received.m_bytes.capacity() > min_reserved_bytes) {
+            received.m_bytes.shrink_to_fit();
+        }
+        shared->m_received_bytes = received.m_bytes.size() + frame->m_memory;
+        shared->count_bytes();
+        co_await wait_for_room(shared, frame->m_memory);
+        shared->m_received_bytes = received.m_bytes.size();
+        if (!shared->count_bytes()) {
+            co_return;
+        }
         spawn(m_context, "an answer to a peer", answer(shared, std::move(*frame)));
     }
 }
 
+asio::awaitable<void> host_link::wait_for_room(std::shared_ptr<incoming> shared, std::size_t memory)
+{
+    const std::size_t max_bytes = m_budget->m_limits.m_max_bytes / work_memory_divisor;
+    const auto has_room = [&] {
+        return m_work->m_calls < max_calls_in_work &&
+               (m_work->m_bytes == 0 || m_work->m_bytes + memory <= max_bytes);
+    };
+    asio::steady_timer timer(m_context);
+    while (!has_room() && !shared->m_close_reason) {
+        timer.expires_after(room_poll_interval);
+        error_code ignored;
+        co_await timer.async_wait(to_coroutine(ignored));
+    }
+}
+
 asio::awaitable<void> host_link::answer(std::shared_ptr<incoming> shared, host_frame frame)
 {
     const std::uint64_t number = frame.m_number;
+    const counted_call counted(m_work, frame.m_memory);
     std::optional<host_message> reply = co_await m_handler(std::move(frame.m_message), number != 0);
     if (!reply || number == 0 || shared->m_close_reason) {
         co_return;
--- a/src/peer/host_link.h
+++ b/src/peer/host_link.h
@@ -56,6 +56,25 @@
     struct outgoing;
     struct incoming;
 
+    /// Calls of peers that are being handled.
+    struct work_in_progress {
+        std::size_t m_calls = 0;
+        std::size_t m_bytes = 0; ///< Memory of their messages.
+    };
+
+    /// One such call; counted until this object is destroyed.
+    class counted_call {
+    public:
+        counted_call(std::shared_ptr<work_in_progress> work, std::size_t bytes);
+        counted_call(const counted_call&) = delete;
+        counted_call& operator=(const counted_call&) = delete;
+        ~counted_call();
+
+    private:
+        std::shared_ptr<work_in_progress> m_work;
+        std::size_t m_bytes;
+    };
+
     /// Encodes and counts a message that is about to be queued.
     std::string encode_counted(std::uint64_t number, const host_message& message);
     void count_received(const host_frame& frame);
@@ -67,7 +86,15 @@
     /// Serves a new connection, or closes it if the budget refuses it.
     void add_connection(std::shared_ptr<incoming> connection);
     asio::awaitable<void> serve(std::shared_ptr<incoming> shared);
+    /// Waits until another call of a peer may be handled, given the memory that it takes. Until
+    /// then nothing more is read from the peer.
+    asio::awaitable<void> wait_for_room(std::shared_ptr<incoming> shared, std::size_t memory);
     asio::awaitable<void> answer(std::shared_ptr<incoming> shared, host_frame frame);
+    /// Number of connections to peers that are kept at one time.
+    [[nodiscard]] std::size_t max_channels() const;
+    /// Closes the connection to a peer that was used least recently, if no call waits on it. False
+    /// if there is none.
+    bool close_unused_channel();
 
     asio::io_context& m_context;
     asio::ip::tcp::acceptor m_acceptor;
@@ -75,6 +102,7 @@
     std::shared_ptr<connection_budget> m_budget; ///< Outlives this: connections leave it later.
     std::map<std::string, std::shared_ptr<outgoing>> m_channels;
     std::uint64_t m_next_number = 1;
+    std::shared_ptr<work_in_progress> m_work; ///< Outlives this: calls leave it later.
     link_traffic m_traffic{};
 };
 
--- a/src/peer/host_message.cpp
+++ b/src/peer/host_message.cpp
@@ -271,6 +271,7 @@
         host_frame frame;
         archive(frame.m_number, frame.m_message);
         frame.m_bytes = bytes.size();
+        frame.m_memory = bytes.size() + archive.decoded_bytes();
         if (!std::visit(value_check{}, frame.m_message)) {
             return fail("malformed frame: a word is not known");
         }
--- a/src/peer/host_message.h
+++ b/src/peer/host_message.h
@@ -163,7 +163,8 @@
 struct host_frame {
     std::uint64_t m_number = 0;
     host_message m_message;
-    std::size_t m_bytes = 0; ///< Size of the encoded frame without its length field.
+    std::size_t m_bytes = 0;  ///< Size of the encoded frame without its length field.
+    std::size_t m_memory = 0; ///< Bytes that the message takes, at most.
 };
 
 /// Decodes a frame without its length; empty with a reason when it is malformed.
--- a/tests/hostile/hostile_peers_test.cpp
+++ b/tests/hostile/hostile_peers_test.cpp
@@ -98,3 +98,60 @@
     check_resources(*host.m_program, max_sockets);
     CHECK(host.answers());
 }
+
+TEST_CASE("greetings of ever new hosts do not exhaust the memory and the descriptors",
+          "[hostile_callers]")
+{
+    dispatch_process host(descriptor_settings, common_limits);
+    REQUIRE(host.answers());
+    // Each host takes connections, so that the process keeps one to each that it greets.
+    constexpr std::size_t hosts = 200;
+    std::vector<std::unique_ptr<silent_listener>> listeners;
+    std::string frames;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        listeners.push_back(std::make_unique<silent_listener>());
+        greeting message;
+        message.m_host = "host-" + std::to_string(i);
+        message.m_address = listeners.back()->address();
+        frames += encode_frame(0, message);
+    }
+    client_crowd clients(host.m_peers, 1);
+    clients.flood(frames, "", frames.size());
+    // All of them are greeted within this time.
+    std::this_thread::sleep_for(seconds(15));
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
+
+TEST_CASE("large calls that peers leave in work do not exhaust the memory", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    const silent_listener worker;
+    constexpr std::size_t count = 30;
+    constexpr std::size_t name_bytes = 4U << 20U;
+    const std::string frame = hold_frame(1, worker.address(), name_bytes);
+    std::vector<std::unique_ptr<client_crowd>> clients;
+    for (std::size_t i = 0; i < count; ++i) {
+        clients.push_back(std::make_unique<client_crowd>(host.m_peers, 1));
+        clients.back()->flood(frame, "", frame.size());
+    }
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
+
+TEST_CASE("many calls that peers leave in work do not exhaust the descriptors", "[hostile_callers]")
+{
+    dispatch_process host(descriptor_settings, common_limits);
+    REQUIRE(host.answers());
+    const silent_listener worker;
+    constexpr std::size_t count = 400;
+    std::string frames;
+    for (std::size_t i = 0; i < count; ++i) {
+        frames += hold_frame(i + 1, worker.address(), 8);
+    }
+    client_crowd clients(host.m_peers, 1);
+    clients.flood(frames, "", frames.size());
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
