--- a/src/fleet/resources.h
+++ b/src/fleet/resources.h
@@ -20,6 +20,10 @@
 /// Subtracts an amount, resource by resource. The result can be negative.
 resources operator-(const resources& left, const resources& right);
 
+/// A multiple of an amount that is not negative. Products beyond the range of the numbers are the
+/// largest ones.
+resources multiply(const resources& each, std::int64_t count);
+
 /// The larger and the smaller amount of each resource.
 resources component_max(const resources& left, const resources& right);
 resources component_min(const resources& left, const resources& right);
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -336,10 +336,7 @@
     record->m_remaining_core_ms = long_running ? 0 : total_core_ms(record->m_definition) * factor;
     record->m_remaining_critical_path = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(critical_path_length(record->m_definition).count()) * factor));
-    record->m_occurrences.resize(occurrence_count(record->m_definition));
-    if (record->m_definition.m_repeat_count == 0) {
-        create_occurrence(*record, 0);
-    }
+    begin_occurrences(*record);
     note_acceptance(state, id, now);
     log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
--- a/src/schedule/advice.cpp
+++ b/src/schedule/advice.cpp
@@ -35,21 +35,15 @@
                     bool ready_only)
 {
     return std::all_of(step.m_after.begin(), step.m_after.end(), [&](std::uint32_t earlier) {
-        const std::vector<scheduled_task>& tasks = occurrence.m_steps[earlier];
-        return std::all_of(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
-            return task.m_phase == task_phase::done ||
-                   (!ready_only && task.m_phase == task_phase::placed);
-        });
+        const step_tasks& tasks = occurrence.m_steps[earlier];
+        return tasks.m_unfinished == (ready_only ? 0 : count_placed(tasks));
     });
 }
 
 /// Counts the tasks of a step that have no worker yet.
-std::size_t count_waiting_tasks(const std::vector<scheduled_task>& tasks)
+std::size_t count_waiting_tasks(const step_tasks& tasks)
 {
-    return static_cast<std::size_t>(
-        std::count_if(tasks.begin(), tasks.end(), [](const scheduled_task& task) {
-            return task.m_phase == task_phase::ready || task.m_phase == task_phase::blocked;
-        }));
+    return tasks.m_unfinished - count_placed(tasks);
 }
 
 /// Chooses the workers to request tickets for, those with most free cores first: workers not
@@ -109,9 +103,7 @@
             if (!contract_of(state, *record).m_needs_advice || record->m_final_decided) {
                 continue;
             }
-            for (std::uint32_t occurrence_index = 0;
-                 occurrence_index < record->m_occurrences.size(); ++occurrence_index) {
-                const occurrence_state& occurrence = record->m_occurrences[occurrence_index];
+            for (const auto& [occurrence_index, occurrence] : record->m_occurrences) {
                 for (std::uint32_t step_index = 0; step_index < occurrence.m_steps.size();
                      ++step_index) {
                     const submission_step& step = record->m_definition.m_steps[step_index];
--- a/src/schedule/evacuation.cpp
+++ b/src/schedule/evacuation.cpp
@@ -18,11 +18,10 @@
 /// Counts the other tasks of a long-running task's step that are unavailable.
 std::int32_t count_unavailable_peers(const submission_record& record, const task_name& name)
 {
-    const std::vector<scheduled_task>& tasks =
-        record.m_occurrences[name.m_occurrence].m_steps[name.m_step];
-    std::int32_t unavailable = 0;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        unavailable += i != name.m_index && !tasks[i].m_available ? 1 : 0;
+    const step_tasks& tasks = record.m_occurrences.at(name.m_occurrence).m_steps[name.m_step];
+    auto unavailable = static_cast<std::int32_t>(tasks.m_count) - 1;
+    for (const auto& [index, task] : tasks.m_started) {
+        unavailable -= index != name.m_index && task.m_available ? 1 : 0;
     }
     return unavailable;
 }
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -34,11 +34,24 @@
 /// Interval of searches for submissions that are to be erased.
 constexpr milliseconds purge_interval{1000};
 
+/// Steps of all submissions, and of one of them, that may find no worker in a planning pass. A
+/// submission goes on in the next pass with the step at which it stopped.
+constexpr std::size_t max_failed_steps = 4096;
+constexpr std::size_t max_failed_steps_of_submission = 32;
+
+/// Tasks of a step that may wait for their place in a planning pass.
+constexpr std::size_t max_waits_of_step = 64;
+
 /// Reserves the resources of a run on a worker and queues its start order.
-void start_run(shard& state, const placement_request& request, scheduled_task& task,
+void start_run(shard& state, candidate_workers& candidates, const placement_request& request,
                candidate_worker& candidate, run_number run, time_point now)
 {
     worker_record& worker = *candidate.m_worker;
+    step_tasks& tasks = request.m_record->m_occurrences.at(request.m_name.m_occurrence)
+                            .m_steps[request.m_name.m_step];
+    scheduled_task& task = edit_task(tasks, request.m_name.m_index);
+    candidates.m_starts_left -= candidates.m_starts_left > 0 ? 1 : 0;
+    candidates.m_runs_left -= candidates.m_runs_left > 0 ? 1 : 0;
     candidate.m_free = candidate.m_free - request.m_demand;
     if (request.m_step->m_long_running) {
         candidate.m_room = candidate.m_room - request.m_demand;
@@ -73,8 +86,7 @@
         state.m_next_starving_start = now + starving_start_interval;
         state.m_ranking_stale = true;
     }
-    set_phase(request.m_record->m_occurrences[request.m_name.m_occurrence], request.m_name.m_step,
-              task, task_phase::placed);
+    set_phase(tasks, task, task_phase::placed);
     task.m_worker = &worker;
     task.m_run = run;
     task.m_available = false;
@@ -102,38 +114,20 @@
     return run_number(++state.m_next_run);
 }
 
-/// True when a task is ready, its retry delay has passed, and no worker of a former owner may still
-/// run it.
-bool is_startable(const shard& state, const submission_record& record, const scheduled_task& task,
-                  time_point now)
-{
-    return task.m_phase == task_phase::ready && task.m_not_before <= now &&
-           (!record.m_inherited || state.m_awaited_workers.empty());
-}
-
-/// True when all tasks of the preceding steps are done.
-bool predecessors_done(const submission_step& step, const occurrence_state& occurrence)
-{
-    return std::all_of(step.m_after.begin(), step.m_after.end(), [&](std::uint32_t earlier) {
-        return occurrence.m_unfinished_tasks[earlier] == 0;
-    });
-}
-
 /// Chooses workers for all tasks of a gang, as positions among the candidates; empty if it does not
 /// fit as a whole. An empty `rack` admits all racks.
 std::vector<std::ptrdiff_t> choose_gang_workers(shard& state, const candidate_workers& candidates,
                                                 submission_record& record, const task_name& first,
                                                 const std::string& rack, time_point now)
 {
-    const std::vector<scheduled_task>& tasks =
-        record.m_occurrences[first.m_occurrence].m_steps[first.m_step];
+    const step_tasks& tasks = record.m_occurrences.at(first.m_occurrence).m_steps[first.m_step];
     // A gang that does not fit as a whole takes no resources.
     candidate_workers trial = candidates;
     std::vector<std::ptrdiff_t> chosen;
     task_name name = first;
-    for (; name.m_index < tasks.size(); ++name.m_index) {
+    for (; name.m_index < tasks.m_count; ++name.m_index) {
         const placement_request request =
-            make_placement_request(state, record, name, tasks[name.m_index]);
+            make_placement_request(state, record, name, view_task(tasks, name.m_index));
         candidate_worker* candidate = choose_worker(state, trial, request, rack, now);
         if (candidate == nullptr) {
             return {};
@@ -149,20 +143,19 @@
                    const task_name& first, const std::vector<std::ptrdiff_t>& chosen,
                    double place_factor, time_point now)
 {
-    std::vector<scheduled_task>& tasks =
-        record.m_occurrences[first.m_occurrence].m_steps[first.m_step];
+    step_tasks& tasks = record.m_occurrences.at(first.m_occurrence).m_steps[first.m_step];
     const run_number run = allocate_run_number(state);
     std::string checkpoint;
-    for (const scheduled_task& task : tasks) {
+    for (const auto& [index, task] : tasks.m_started) {
         checkpoint = std::max(checkpoint, task.m_checkpoint);
     }
     task_name name = first;
-    for (; name.m_index < tasks.size(); ++name.m_index) {
-        scheduled_task& task = tasks[name.m_index];
+    for (; name.m_index < tasks.m_count; ++name.m_index) {
+        scheduled_task& task = edit_task(tasks, name.m_index);
         task.m_checkpoint = checkpoint;
         placement_request request = make_placement_request(state, record, name, task);
         request.m_place_factor = place_factor;
-        start_run(state, request, task,
+        start_run(state, candidates, request,
                   candidates.m_workers[static_cast<std::size_t>(chosen[name.m_index])], run, now);
     }
 }
@@ -189,27 +182,48 @@
     return step.m_same_rack ? find_racks(state) : std::vector<std::string>{""};
 }
 
+/// True if all tasks of a step may start now.
+bool are_startable(const step_tasks& tasks, time_point now)
+{
+    return tasks.m_ready == tasks.m_count &&
+           std::all_of(tasks.m_started.begin(), tasks.m_started.end(),
+                       [now](const auto& entry) { return entry.second.m_not_before <= now; });
+}
+
+/// True unless the demand of a gang exceeds the free capacity of all candidates together, which is
+/// far quicker to tell than where its members fit.
+bool may_fit(const candidate_workers& candidates, const resources& demand)
+{
+    resources free;
+    for (const candidate_worker& candidate : candidates.m_workers) {
+        free = free + component_max(candidate.m_free, resources{});
+    }
+    return fits(demand, free);
+}
+
 /// Starts all tasks of a gang together or none of them: at a place where they run at full speed, or
-/// else anywhere, unless the wait for such a place pays.
-void start_gang(shard& state, candidate_workers& candidates, submission_record& record,
+/// else anywhere, unless the wait for such a place pays. Returns whether they were started.
+bool start_gang(shard& state, candidate_workers& candidates, submission_record& record,
                 std::uint32_t occurrence, std::uint32_t step_index, time_point now)
 {
-    const std::vector<scheduled_task>& tasks = record.m_occurrences[occurrence].m_steps[step_index];
+    const step_tasks& tasks = record.m_occurrences.at(occurrence).m_steps[step_index];
     const submission_step& step = record.m_definition.m_steps[step_index];
-    if (!std::all_of(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
-            return is_startable(state, record, task, now);
-        })) {
-        return;
-    }
-    resources total;
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        total = total + step.m_demand;
+    // A gang that is larger than what may run at one time runs alone.
+    if (!are_startable(tasks, now) ||
+        (tasks.m_count > candidates.m_runs_left && candidates.m_has_runs)) {
+        return false;
     }
+    const resources total = multiply(step.m_demand, tasks.m_count);
     if (!has_quota(state, record.m_organisation, total)) {
         note_blocked_by_quota(state, record.m_organisation, total, 1);
-        return;
+        return false;
     }
     const task_name first{record.m_id, occurrence, step_index, 0};
+    const placement_request request =
+        make_placement_request(state, record, first, view_task(tasks, 0));
+    if (!may_fit(candidates, multiply(request.m_demand, tasks.m_count))) {
+        return false;
+    }
     const bool names_place = step.m_same_rack || !step.m_data_rack.empty();
     const std::vector<std::string> places = places_of_gang(state, step);
     for (const std::string& place : places) {
@@ -219,11 +233,11 @@
             if (names_place) {
                 note_place_start(state, first, true, now);
             }
-            return;
+            return true;
         }
     }
     if (!names_place) {
-        return;
+        return false;
     }
     std::vector<std::ptrdiff_t> chosen;
     if (step.m_same_rack && !step.m_data_rack.empty()) {
@@ -237,12 +251,12 @@
     if (chosen.empty()) {
         chosen = choose_gang_workers(state, candidates, record, first, "", now);
     }
-    const placement_request request = make_placement_request(state, record, first, tasks.front());
     if (chosen.empty() || gang_waits(state, candidates, request, places, now)) {
-        return;
+        return false;
     }
     start_gang_on(state, candidates, record, first, chosen, state.m_bounds.m_remote_factor, now);
     note_place_start(state, first, false, now);
+    return true;
 }
 
 /// Logs, once per submission, that a task has found no worker for a while although most of the pool
@@ -269,81 +283,140 @@
         std::to_string(candidates.m_reserved.size()) + " most_free=" + std::to_string(most_free));
 }
 
-/// Starts ready tasks in the ranking of submissions. After the first task of a step that finds no
-/// worker, the rest of the step is skipped.
+/// A step of an occurrence with tasks that may start.
+struct startable_step {
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_step = 0;
+    step_tasks* m_tasks = nullptr;
+};
+
+/// Finds the steps of a submission with tasks that may start: in their order, but beginning with
+/// the one at which the last pass stopped.
+void find_startable_steps(submission_record& record, std::vector<startable_step>& steps)
+{
+    steps.clear();
+    for (auto& [number, occurrence] : record.m_occurrences) {
+        for (std::uint32_t i = 0; occurrence.m_due && i < occurrence.m_steps.size(); ++i) {
+            step_tasks& tasks = occurrence.m_steps[i];
+            if (tasks.m_ready > 0 && tasks.m_unblocked) {
+                steps.push_back({number, i, &tasks});
+            }
+        }
+    }
+    const auto first = std::find_if(steps.begin(), steps.end(), [&](const startable_step& step) {
+        return std::pair(step.m_occurrence, step.m_step) >= record.m_resume_at;
+    });
+    std::rotate(steps.begin(), first, steps.end());
+    record.m_resume_at = {};
+}
+
+/// How the start of a step's tasks ended.
+enum class step_result : std::uint8_t {
+    started, ///< All that may start have started.
+    failed,  ///< A task found no worker, so that the rest was skipped.
+    put_back ///< A task of a starving submission has started, which is all that it gets.
+};
+
+/// Starts ready tasks of a step that start each on its own. After the first one that finds no
+/// worker, the rest is skipped.
+step_result start_step(shard& state, candidate_workers& candidates, submission_record& record,
+                       const startable_step& step, time_point now)
+{
+    const bool is_starving = record.m_starving;
+    const resources& demand = record.m_definition.m_steps[step.m_step].m_demand;
+    step_tasks& tasks = *step.m_tasks;
+    bool has_reserved = false;
+    std::size_t waits = 0;
+    for (auto index = next_ready_task(tasks, 0);
+         index && candidates.m_starts_left > 0 && candidates.m_runs_left > 0;
+         index = next_ready_task(tasks, *index + 1)) {
+        const scheduled_task& task = view_task(tasks, *index);
+        ++state.m_tasks_examined;
+        if (task.m_not_before > now) {
+            continue;
+        }
+        if (!has_quota(state, record.m_organisation, demand)) {
+            note_blocked_by_quota(state, record.m_organisation, demand, tasks.m_ready);
+            return step_result::started;
+        }
+        placement_request request = make_placement_request(
+            state, record, {record.m_id, step.m_occurrence, step.m_step, *index}, task);
+        const placement_choice choice = choose_placement(state, candidates, request, now);
+        state.m_starts_on_reserved += choice.m_is_reserved ? 1 : 0;
+        if (choice.m_worker != nullptr) {
+            start_run(state, candidates, request, *choice.m_worker, allocate_run_number(state),
+                      now);
+            if (!request.m_step->m_data_rack.empty()) {
+                note_place_start(state, request.m_name, request.m_place_factor == 1, now);
+            }
+            if (is_starving) {
+                return step_result::put_back;
+            }
+            continue;
+        }
+        // A task that waits for its ticket reserves no worker.
+        if (!request.m_needs_ticket && !has_reserved) {
+            reserve_worker(state, candidates, request,
+                           choice.m_waits ? request.m_step->m_data_rack : "", now);
+            has_reserved = true;
+        }
+        note_waiting_task(state, candidates, request, now);
+        if (choice.m_waits && ++waits < max_waits_of_step) {
+            // The wait of the step's next task is longer and may not pay.
+            continue;
+        }
+        state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
+        if (!request.m_step->m_data_rack.empty()) {
+            book_waiting_tasks(state, candidates, request, request.m_step->m_data_rack,
+                               tasks.m_ready, now);
+        }
+        return step_result::failed;
+    }
+    return waits > 0 ? step_result::failed : step_result::started;
+}
+
+/// Starts ready tasks of a submission. Returns whether it is to be put back in the ranking.
+bool start_tasks_of(shard& state, candidate_workers& candidates, submission_record& record,
+                    std::size_t max_failures, std::vector<startable_step>& steps, time_point now)
+{
+    find_startable_steps(record, steps);
+    std::size_t failures = 0;
+    for (const startable_step& step : steps) {
+        if (failures == max_failures) {
+            record.m_resume_at = {step.m_occurrence, step.m_step};
+            return false;
+        }
+        if (record.m_definition.m_steps[step.m_step].m_gang) {
+            failures +=
+                start_gang(state, candidates, record, step.m_occurrence, step.m_step, now) ? 0 : 1;
+            continue;
+        }
+        const step_result result = start_step(state, candidates, record, step, now);
+        if (result == step_result::put_back) {
+            return true;
+        }
+        failures += result == step_result::failed ? 1 : 0;
+    }
+    return false;
+}
+
+/// Starts ready tasks in the ranking of submissions.
 void start_ready_tasks(shard& state, time_point now)
 {
     candidate_workers candidates = find_candidate_workers(state, now);
     clear_blocked_by_quota(state);
+    const std::size_t max_failures =
+        std::clamp<std::size_t>(max_failed_steps / std::max<std::size_t>(1, state.m_ranked.size()),
+                                1, max_failed_steps_of_submission);
+    std::vector<startable_step> steps;
     submission_record* put_back = nullptr;
     for (submission_record* record : state.m_ranked) {
-        const bool is_starving = record->m_starving;
-        for (std::uint32_t occurrence_index = 0; occurrence_index < record->m_occurrences.size();
-             ++occurrence_index) {
-            occurrence_state& occurrence = record->m_occurrences[occurrence_index];
-            if (!occurrence.m_due || occurrence.m_done) {
-                continue;
-            }
-            for (std::uint32_t step_index = 0; step_index < occurrence.m_steps.size();
-                 ++step_index) {
-                if (put_back == record || occurrence.m_ready_tasks[step_index] == 0 ||
-                    !predecessors_done(record->m_definition.m_steps[step_index], occurrence)) {
-                    continue;
-                }
-                if (record->m_definition.m_steps[step_index].m_gang) {
-                    start_gang(state, candidates, *record, occurrence_index, step_index, now);
-                    continue;
-                }
-                bool has_reserved = false;
-                for (std::uint32_t i = 0; i < occurrence.m_steps[step_index].size(); ++i) {
-                    scheduled_task& task = occurrence.m_steps[step_index][i];
-                    ++state.m_tasks_examined;
-                    if (!is_startable(state, *record, task, now)) {
-                        continue;
-                    }
-                    const resources& demand = record->m_definition.m_steps[step_index].m_demand;
-                    if (!has_quota(state, record->m_organisation, demand)) {
-                        note_blocked_by_quota(state, record->m_organisation, demand,
-                                              occurrence.m_ready_tasks[step_index]);
-                        break;
-                    }
-                    placement_request request = make_placement_request(
-                        state, *record, {record->m_id, occurrence_index, step_index, i}, task);
-                    const placement_choice choice =
-                        choose_placement(state, candidates, request, now);
-                    candidate_worker* worker = choice.m_worker;
-                    state.m_starts_on_reserved += choice.m_is_reserved ? 1 : 0;
-                    if (worker != nullptr) {
-                        start_run(state, request, task, *worker, allocate_run_number(state), now);
-                        if (!request.m_step->m_data_rack.empty()) {
-                            note_place_start(state, request.m_name, request.m_place_factor == 1,
-                                             now);
-                        }
-                        if (is_starving) {
-                            put_back = record;
-                            break;
-                        }
-                        continue;
-                    }
-                    // A task that waits for its ticket reserves no worker.
-                    if (!request.m_needs_ticket && !has_reserved) {
-                        reserve_worker(state, candidates, request,
-                                       choice.m_waits ? request.m_step->m_data_rack : "", now);
-                        has_reserved = true;
-                    }
-                    note_waiting_task(state, candidates, request, now);
-                    if (choice.m_waits) {
-                        // The wait of the step's next task is longer and may not pay.
-                        continue;
-                    }
-                    state.m_unplaced_by_start += request.m_step->m_long_running ? 1 : 0;
-                    if (!request.m_step->m_data_rack.empty()) {
-                        book_waiting_tasks(state, candidates, request, request.m_step->m_data_rack,
-                                           occurrence.m_ready_tasks[step_index], now);
-                    }
-                    break;
-                }
-            }
+        // Workers of a former owner may still run tasks of an inherited submission.
+        if (record->m_inherited && !state.m_awaited_workers.empty()) {
+            continue;
+        }
+        if (start_tasks_of(state, candidates, *record, max_failures, steps, now)) {
+            put_back = record;
         }
     }
     if (put_back != nullptr) {
--- a/src/schedule/quota_holder.cpp
+++ b/src/schedule/quota_holder.cpp
@@ -73,19 +73,20 @@
 }
 
 /// Demand of the tasks of an inherited submission that no known worker runs: a former owner may
-/// have started them on workers that have not reported yet.
-resources unplaced_demand(const submission_record& record)
+/// have started them on workers that have not reported yet. At most the given amount.
+resources unplaced_demand(const submission_record& record, const resources& most)
 {
+    const std::uint32_t not_created = record.m_due_occurrences - record.m_next_occurrence;
+    const std::vector<submission_step>& steps = record.m_definition.m_steps;
     resources demand;
-    for (const occurrence_state& occurrence : record.m_occurrences) {
-        for (std::size_t i = 0; i < occurrence.m_steps.size(); ++i) {
-            const resources& each = record.m_definition.m_steps[i].m_demand;
-            for (const scheduled_task& task : occurrence.m_steps[i]) {
-                const bool is_open =
-                    task.m_phase == task_phase::ready || task.m_phase == task_phase::blocked;
-                demand = demand + (is_open ? each : resources{});
-            }
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        std::int64_t open = std::int64_t{not_created} * steps[i].m_task_count;
+        for (const auto& [number, occurrence] : record.m_occurrences) {
+            const step_tasks& tasks = occurrence.m_steps[i];
+            open += tasks.m_unfinished - count_placed(tasks);
         }
+        demand =
+            component_min(most, demand + component_min(most, multiply(steps[i].m_demand, open)));
     }
     return demand;
 }
@@ -102,7 +103,7 @@
     for (const submission_record* open : state.m_open_submissions) {
         if (open->m_inherited && !open->m_organisation.empty()) {
             resources& sum = hidden[open->m_organisation];
-            sum = component_min(capacity, sum + unplaced_demand(*open));
+            sum = component_min(capacity, sum + unplaced_demand(*open, capacity));
         }
     }
     return hidden;
@@ -157,9 +158,7 @@
     organisation_quota& quota = state.m_quotas[organisation];
     quota.m_largest_blocked = component_max(quota.m_largest_blocked, demand);
     const std::int64_t count = tasks;
-    quota.m_blocked =
-        quota.m_blocked + resources{demand.m_cpu_millis * count, demand.m_memory_mb * count,
-                                    demand.m_accelerators * count};
+    quota.m_blocked = quota.m_blocked + multiply(demand, count);
 }
 
 void clear_blocked_by_quota(shard& state)
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -44,12 +44,11 @@
 };
 
 running_tasks measure_running(const shard& state, const submission_record& record,
-                              const std::vector<scheduled_task>& tasks, double each_ms,
-                              time_point now)
+                              const step_tasks& tasks, double each_ms, time_point now)
 {
     running_tasks running;
     const milliseconds each(static_cast<std::int64_t>(each_ms));
-    for (const scheduled_task& task : tasks) {
+    for (const auto& [index, task] : tasks.m_started) {
         if (task.m_phase != task_phase::placed) {
             continue;
         }
@@ -80,12 +79,13 @@
         for (const std::uint32_t earlier : steps[i].m_after) {
             begin = std::max(begin, ends[earlier]);
         }
-        const std::uint32_t open = occurrence.m_unfinished_tasks[i];
+        const step_tasks& tasks = occurrence.m_steps[i];
+        const std::uint32_t open = tasks.m_unfinished;
         const double each_ms = factor * static_cast<double>(steps[i].m_estimate.count());
         running_tasks running;
-        const bool has_begun = open > occurrence.m_ready_tasks[i] && begin == milliseconds(0);
+        const bool has_begun = open > tasks.m_ready && begin == milliseconds(0);
         if (has_begun && !steps[i].m_long_running) {
-            running = measure_running(state, record, occurrence.m_steps[i], each_ms, now);
+            running = measure_running(state, record, tasks, each_ms, now);
         }
         const std::uint32_t waiting = open - running.m_count;
         const double longest_ms = std::max(running.m_longest_ms, waiting > 0 ? each_ms : 0);
@@ -342,11 +342,11 @@
 bool has_large_ready_task(const submission_record& record, const occurrence_state& occurrence,
                           const resources& worker)
 {
-    for (std::size_t i = 0; i < occurrence.m_ready_tasks.size(); ++i) {
+    for (std::size_t i = 0; i < occurrence.m_steps.size(); ++i) {
         const resources& demand = record.m_definition.m_steps[i].m_demand;
         const bool is_large = demand.m_cpu_millis * 2 > worker.m_cpu_millis ||
                               demand.m_memory_mb * 2 > worker.m_memory_mb;
-        if (occurrence.m_ready_tasks[i] > 0 && is_large && fits(demand, worker)) {
+        if (occurrence.m_steps[i].m_ready > 0 && is_large && fits(demand, worker)) {
             return true;
         }
     }
@@ -369,9 +369,8 @@
     for (auto it = begin; it != state.m_ranked.end(); ++it) {
         const submission_record& record = **it;
         const time_point since = std::max(record.m_arrived, record.m_last_start);
-        const auto is_waiting = [&](const occurrence_state& occurrence) {
-            return occurrence.m_due && !occurrence.m_done &&
-                   has_large_ready_task(record, occurrence, largest_worker);
+        const auto is_waiting = [&](const auto& entry) {
+            return entry.second.m_due && has_large_ready_task(record, entry.second, largest_worker);
         };
         if (since < waits_since &&
             std::any_of(record.m_occurrences.begin(), record.m_occurrences.end(), is_waiting)) {
@@ -429,32 +428,18 @@
             set_deadlines(state, *record);
         }
         ranked_submission item{record, {}, record->m_objective, submission_tier::on_time};
-        bool any = false;
-        for (std::uint32_t k = 0; k < record->m_occurrences.size(); ++k) {
-            occurrence_state& occurrence = record->m_occurrences[k];
-            if (!occurrence.m_due) {
-                if (due_ms(record->m_definition, k) > unix_ms(wall)) {
-                    continue;
-                }
-                occurrence.m_due = true;
-                if (!occurrence.m_created) {
-                    create_occurrence(*record, k);
-                }
+        create_due_occurrences(*record, wall);
+        // The first one that is not done stands for the submission.
+        const auto first = std::find_if(record->m_occurrences.begin(), record->m_occurrences.end(),
+                                        [](const auto& entry) { return entry.second.m_due; });
+        const bool any = first != record->m_occurrences.end();
+        if (any) {
+            item.m_remaining = measure_remaining(state, *record, first->second, step_ends, now);
+            if (record->m_definition.m_repeat_count > 0) {
+                const milliseconds late(std::max<std::int64_t>(
+                    0, unix_ms(wall) - due_ms(record->m_definition, first->first)));
+                item.m_deadline = now - late + (record->m_objective - record->m_arrived);
             }
-            if (occurrence.m_done) {
-                continue;
-            }
-            const remaining_work left =
-                measure_remaining(state, *record, occurrence, step_ends, now);
-            if (!any) {
-                item.m_remaining = left;
-                if (record->m_definition.m_repeat_count > 0) {
-                    const milliseconds late(
-                        std::max<std::int64_t>(0, unix_ms(wall) - due_ms(record->m_definition, k)));
-                    item.m_deadline = now - late + (record->m_objective - record->m_arrived);
-                }
-            }
-            any = true;
         }
         record->m_remaining_core_ms =
             item.m_remaining.m_long_running ? 0 : item.m_remaining.m_core_ms;
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -4,6 +4,7 @@
 #include "schedule/place_waits.h"
 #include "schedule/quota_holder.h"
 #include "schedule/shard_steps.h"
+#include "submission/submission_cost.h"
 
 namespace guavabay {
 
@@ -154,8 +155,8 @@
     slot.m_progress_at = now;
     const found_task found = find_or_create_task(state, reported.m_task);
     bool is_adoptable = false;
-    slot.m_unknown_demand = found.m_task == nullptr;
-    if (found.m_task != nullptr) {
+    slot.m_unknown_demand = found.m_record == nullptr;
+    if (found.m_record != nullptr) {
         const submission_step& step = found.m_record->m_definition.m_steps[reported.m_task.m_step];
         slot.m_reserved = step.m_demand;
         slot.m_organisation = found.m_record->m_organisation;
@@ -172,11 +173,11 @@
         }
         // A blocked task counts too: the ends of its preceding steps may not have been reported
         // yet.
-        is_adoptable = found.m_task->m_phase == task_phase::ready ||
-                       found.m_task->m_phase == task_phase::blocked;
+        is_adoptable = found.m_task != nullptr && (found.m_task->m_phase == task_phase::ready ||
+                                                   found.m_task->m_phase == task_phase::blocked);
     }
     run_slot& added = add_run(state, worker, std::move(slot));
-    if (found.m_task == nullptr) {
+    if (found.m_record == nullptr) {
         note_stray_run(state, worker, added, false, now);
     }
     if (!is_adoptable) {
@@ -185,7 +186,7 @@
     }
     // A run that is stopped below still occupies its task, so that no second run starts beside it.
     scheduled_task& task = *found.m_task;
-    set_phase(*found.m_occurrence, found.m_step, task, task_phase::placed);
+    set_phase(*found.m_step, task, task_phase::placed);
     task.m_worker = &worker;
     task.m_run = reported.m_run;
     task.m_started_at = now;
@@ -266,7 +267,7 @@
     }
     state.m_pending.m_entries.emplace_back(log_task_ended{end.m_task, false, end.m_run});
     const auto failures = static_cast<std::int32_t>(task.m_failed_runs.size());
-    if (failures >= contract_of(state, record).m_max_attempts && task.m_phase != task_phase::done) {
+    if (failures >= contract_of(state, record).m_max_attempts) {
         close_submission(state, record, submission_state::failed, wall);
     }
 }
@@ -353,7 +354,7 @@
 void make_ready(shard& state, const found_task& found, time_point not_before)
 {
     scheduled_task& task = *found.m_task;
-    set_phase(*found.m_occurrence, found.m_step, task, task_phase::ready);
+    set_phase(*found.m_step, task, task_phase::ready);
     task.m_worker = nullptr;
     task.m_not_before = not_before;
     task.m_available = false;
@@ -419,54 +420,30 @@
     }
 }
 
-void mark_done(const submission_record& record, occurrence_state& occurrence, const task_name& name,
-               const std::function<void(scheduled_task& task, std::uint32_t index)>& before_each)
-{
-    std::vector<scheduled_task>& tasks = occurrence.m_steps[name.m_step];
-    const bool whole_step = record.m_definition.m_steps[name.m_step].m_gang;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        scheduled_task& task = tasks[index];
-        if ((!whole_step && index != name.m_index) || task.m_phase == task_phase::done) {
-            continue;
-        }
-        before_each(task, index);
-        set_phase(occurrence, name.m_step, task, task_phase::done);
-        task.m_worker = nullptr;
-        task.m_checkpoint.clear();
-        --occurrence.m_unfinished_tasks[name.m_step];
-    }
-    occurrence.m_done =
-        std::all_of(occurrence.m_unfinished_tasks.begin(), occurrence.m_unfinished_tasks.end(),
-                    [](std::uint32_t open) { return open == 0; });
-}
-
 bool is_done(const submission_record& record)
 {
-    return std::all_of(record.m_occurrences.begin(), record.m_occurrences.end(),
-                       [](const occurrence_state& each) { return each.m_done; });
+    return record.m_unfinished_occurrences == 0;
 }
 
 void finish_task(shard& state, submission_record& record, const task_name& name, run_number run,
                  wall_time wall)
 {
     const found_task found = find_task(state, name);
-    if (found.m_task == nullptr || found.m_task->m_phase == task_phase::done) {
+    if (found.m_task == nullptr) {
         return;
     }
-    occurrence_state& occurrence = record.m_occurrences[name.m_occurrence];
     if (record.m_definition.m_steps[name.m_step].m_long_running) {
         detach_run(state, name, *found.m_task, run);
         make_ready(state, found, found.m_task->m_not_before);
         return;
     }
-    mark_done(record, occurrence, name, [&](const scheduled_task& task, std::uint32_t index) {
+    mark_done(record, name, [&](const scheduled_task& task, std::uint32_t index) {
         task_name member = name;
         member.m_index = index;
         detach_run(state, member, task, run);
         state.m_pending.m_entries.emplace_back(log_task_ended{member, true, {}});
     });
     state.m_ranking_stale = true;
-    unblock_steps(record, occurrence);
     if (is_done(record) && !record.m_cancel_requested) {
         close_submission(state, record, submission_state::succeeded, wall);
     }
@@ -475,20 +452,14 @@
 void close_submission(shard& state, submission_record& record, submission_state final_state,
                       wall_time wall)
 {
-    for (occurrence_state& occurrence : record.m_occurrences) {
+    for (const auto& [number, occurrence] : record.m_occurrences) {
         for (std::size_t step = 0; step < occurrence.m_steps.size(); ++step) {
-            for (std::size_t index = 0; index < occurrence.m_steps[step].size(); ++index) {
-                scheduled_task& task = occurrence.m_steps[step][index];
+            for (const auto& [index, task] : occurrence.m_steps[step].m_started) {
                 if (task.m_phase != task_phase::placed || task.m_worker == nullptr) {
                     continue;
                 }
-                const auto occurrence_index =
-                    static_cast<std::uint32_t>(&occurrence - record.m_occurrences.data());
-                run_slot* slot =
-                    find_slot(*task.m_worker,
-                              {record.m_id, occurrence_index, static_cast<std::uint32_t>(step),
-                               static_cast<std::uint32_t>(index)},
-                              task.m_run);
+                const task_name name{record.m_id, number, static_cast<std::uint32_t>(step), index};
+                run_slot* slot = find_slot(*task.m_worker, name, task.m_run);
                 if (slot != nullptr) {
                     stop_run(state, *task.m_worker, *slot, true);
                 }
@@ -503,7 +474,9 @@
     record.m_final = final_state;
     record.m_closed_ms = unix_ms(wall);
     record.m_occurrences.clear();
+    record.m_done_occurrences = {};
     record.m_definition = {};
+    record.m_memory.hold(state.m_budget, memory_use::work, closed_submission_bytes);
     record.m_account = nullptr;
     state.m_open_submissions.erase(&record);
     state.m_ranking_stale = true;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -1,8 +1,11 @@
 #include "schedule/shard.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "schedule/shard_steps.h"
+#include "submission/submission_cost.h"
 
 namespace guavabay {
 
@@ -14,6 +17,14 @@
 /// Minimum time for which a worker that left the platform's list is kept and gets holds.
 constexpr seconds unlisted_grace{3};
 
+static_assert(sizeof(step_tasks) <= step_state_bytes, "the cost of a step covers its state");
+static_assert(sizeof(submission_record) <= closed_submission_bytes * 3 / 4,
+              "the cost of a submission covers its record and its index");
+
+/// A record of the log takes no more entries from this size on, in bytes. With the largest
+/// submission it is still below the largest value of the store.
+constexpr std::size_t max_batch_bytes = 196608;
+
 /// Contract of submissions whose queue is neither in the configuration nor in the log.
 const queue_contract default_contract{};
 
@@ -54,10 +65,9 @@
         milliseconds(std::clamp<std::int64_t>(unix_ms(wall) - entry.m_accepted_ms, 0, 600000));
     record->m_accept_stored = true;
     record->m_inherited = true;
-    record->m_occurrences.resize(occurrence_count(record->m_definition));
-    if (record->m_definition.m_repeat_count == 0) {
-        create_occurrence(*record, 0);
-    }
+    begin_occurrences(*record);
+    record->m_memory.hold(state.m_budget, memory_use_of(record->m_definition),
+                          open_submission_bytes(record->m_definition));
     state.m_open_submissions.insert(record.get());
     state.m_submissions[entry.m_id] = std::move(record);
     state.m_cancelled_early.erase(entry.m_id);
@@ -69,15 +79,12 @@
     if (task.m_task == nullptr) {
         return;
     }
-    submission_record& record = *task.m_record;
-    occurrence_state& occurrence = *task.m_occurrence;
-    record.m_started = true;
+    task.m_record->m_started = true;
     if (!entry.m_done) {
         count_failure(*task.m_task, entry.m_run);
         return;
     }
-    mark_done(record, occurrence, entry.m_task, [](const scheduled_task&, std::uint32_t) {});
-    unblock_steps(record, occurrence);
+    mark_done(*task.m_record, entry.m_task, [](const scheduled_task&, std::uint32_t) {});
 }
 
 void replay_final(shard& state, const submission_id& id, submission_state final_state,
@@ -86,7 +93,7 @@
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
         if (final_state == submission_state::canceled) {
-            early_cancellation& early = state.m_cancelled_early[id];
+            early_cancellation& early = remember_early(state, id);
             // The entry before names the organisation, unless the route was public.
             const bool is_named = !early.m_organisations.empty() && early.m_stored_ms == 0;
             if (!is_named) {
@@ -105,11 +112,84 @@
     record.m_visible = final_state;
     record.m_closed_ms = closed_ms;
     record.m_occurrences.clear();
+    record.m_done_occurrences = {};
+    record.m_definition = {};
+    record.m_memory.hold(state.m_budget, memory_use::work, closed_submission_bytes);
     state.m_open_submissions.erase(&record);
 }
 
+/// True when all tasks of the steps before a step are done.
+bool predecessors_done(const submission_step& step, const occurrence_state& occurrence)
+{
+    return std::all_of(step.m_after.begin(), step.m_after.end(), [&](std::uint32_t earlier) {
+        return occurrence.m_steps[earlier].m_unfinished == 0;
+    });
+}
+
+/// Makes the tasks ready whose earlier steps are done.
+void unblock_steps(const submission_record& record, occurrence_state& occurrence)
+{
+    for (std::size_t i = 0; i < occurrence.m_steps.size(); ++i) {
+        step_tasks& step = occurrence.m_steps[i];
+        if (!step.m_unblocked && predecessors_done(record.m_definition.m_steps[i], occurrence)) {
+            unblock(step);
+        }
+    }
+}
+
+bool has_ready_task(const occurrence_state& occurrence)
+{
+    return std::any_of(occurrence.m_steps.begin(), occurrence.m_steps.end(),
+                       [](const step_tasks& step) { return step.m_ready > 0; });
+}
+
+/// Number of occurrences whose time has come at a moment of Unix time, in milliseconds.
+std::uint32_t count_due(const submission& definition, std::int64_t at_ms)
+{
+    const std::uint32_t count = occurrence_count(definition);
+    if (due_ms(definition, 0) > at_ms) {
+        return 0;
+    }
+    if (definition.m_repeat_count == 0 || definition.m_interval_ms <= 0) {
+        return count;
+    }
+    const std::int64_t due = (at_ms - definition.m_first_start_ms) / definition.m_interval_ms + 1;
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(count, due));
+}
+
+/// The submission that an entry accepts, cancels or names the organisation of; null for others.
+const submission_id* subject_of(const log_entry& entry)
+{
+    if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
+        return &accepted->m_id;
+    }
+    if (const auto* owner = std::get_if<log_submission_organisation>(&entry)) {
+        return &owner->m_id;
+    }
+    const auto* cancelled = std::get_if<log_cancelled>(&entry);
+    return cancelled == nullptr ? nullptr : &cancelled->m_id;
+}
+
+/// True if two entries in a row have to be in one record: an accepted submission, its organisation,
+/// and its cancellation if that came first.
+bool belong_together(const log_entry& former, const log_entry& entry)
+{
+    const submission_id* subject = subject_of(former);
+    const submission_id* other = subject_of(entry);
+    return subject != nullptr && other != nullptr && *subject == *other;
+}
+
 } // namespace
 
+early_cancellation& remember_early(shard& state, const submission_id& id)
+{
+    const auto [entry, is_new] = state.m_cancelled_early.try_emplace(id);
+    if (is_new) {
+        entry->second.m_memory.hold(state.m_budget, memory_use::cancellations, cancellation_bytes);
+    }
+    return entry->second;
+}
+
 found_task find_task(shard& state, const task_name& name)
 {
     const auto found = state.m_submissions.find(name.m_submission);
@@ -117,15 +197,19 @@
         return {};
     }
     submission_record& record = *found->second;
-    if (name.m_occurrence >= record.m_occurrences.size()) {
+    const std::vector<submission_step>& steps = record.m_definition.m_steps;
+    if (name.m_occurrence >= occurrence_count(record.m_definition) || name.m_step >= steps.size() ||
+        name.m_index >= steps[name.m_step].m_task_count) {
         return {};
     }
-    occurrence_state& occurrence = record.m_occurrences[name.m_occurrence];
-    if (name.m_step >= occurrence.m_steps.size() ||
-        name.m_index >= occurrence.m_steps[name.m_step].size()) {
-        return {};
+    const auto occurrence = record.m_occurrences.find(name.m_occurrence);
+    if (occurrence == record.m_occurrences.end()) {
+        return is_done(record, name.m_occurrence) ? found_task{&record, nullptr, nullptr}
+                                                  : found_task{};
     }
-    return {&record, &occurrence, name.m_step, &occurrence.m_steps[name.m_step][name.m_index]};
+    step_tasks& step = occurrence->second.m_steps[name.m_step];
+    scheduled_task* task = is_done(step, name.m_index) ? nullptr : &edit_task(step, name.m_index);
+    return {&record, &step, task};
 }
 
 found_task find_or_create_task(shard& state, const task_name& name)
@@ -133,22 +217,15 @@
     const auto found = state.m_submissions.find(name.m_submission);
     if (found != state.m_submissions.end()) {
         submission_record& record = *found->second;
-        if (record.m_inherited && name.m_occurrence < record.m_occurrences.size() &&
-            !record.m_occurrences[name.m_occurrence].m_created) {
+        if (record.m_inherited && !record.m_final_decided &&
+            name.m_occurrence < occurrence_count(record.m_definition) &&
+            !is_done(record, name.m_occurrence)) {
             create_occurrence(record, name.m_occurrence);
         }
     }
     return find_task(state, name);
 }
 
-void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
-               task_phase phase)
-{
-    occurrence.m_ready_tasks[step] -= task.m_phase == task_phase::ready ? 1 : 0;
-    occurrence.m_ready_tasks[step] += phase == task_phase::ready ? 1 : 0;
-    task.m_phase = phase;
-}
-
 const queue_contract& contract_of(const shard& state, const submission_record& record)
 {
     const auto configured = state.m_queues.find(record.m_queue);
@@ -244,34 +321,85 @@
     return what.m_repeat_count == 0 ? 0 : what.m_first_start_ms + occurrence * what.m_interval_ms;
 }
 
-void create_occurrence(submission_record& record, std::uint32_t number)
+bool is_done(const submission_record& record, std::uint32_t occurrence)
 {
-    occurrence_state& occurrence = record.m_occurrences[number];
-    occurrence.m_created = true;
-    for (const submission_step& step : record.m_definition.m_steps) {
-        occurrence.m_steps.emplace_back(step.m_task_count);
-        occurrence.m_unfinished_tasks.push_back(step.m_task_count);
-        occurrence.m_ready_tasks.push_back(0);
+    return !record.m_done_occurrences.empty() && record.m_done_occurrences[occurrence];
+}
+
+void begin_occurrences(submission_record& record)
+{
+    record.m_unfinished_occurrences = occurrence_count(record.m_definition);
+    if (record.m_definition.m_repeat_count == 0) {
+        create_occurrence(record, 0);
     }
-    unblock_steps(record, occurrence);
 }
 
-void unblock_steps(submission_record& record, occurrence_state& occurrence)
+occurrence_state& create_occurrence(submission_record& record, std::uint32_t number)
 {
-    for (std::size_t i = 0; i < record.m_definition.m_steps.size(); ++i) {
-        const std::vector<std::uint32_t>& after = record.m_definition.m_steps[i].m_after;
-        const bool open = std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-            return occurrence.m_unfinished_tasks[earlier] == 0;
-        });
-        if (!open) {
+    const auto [entry, is_new] = record.m_occurrences.try_emplace(number);
+    occurrence_state& occurrence = entry->second;
+    if (is_new) {
+        const std::vector<submission_step>& steps = record.m_definition.m_steps;
+        occurrence.m_steps.reserve(steps.size());
+        for (const submission_step& step : steps) {
+            occurrence.m_steps.push_back(make_step_tasks(step.m_task_count));
+        }
+        occurrence.m_unfinished_steps = static_cast<std::uint32_t>(steps.size());
+        unblock_steps(record, occurrence);
+    }
+    return occurrence;
+}
+
+void create_due_occurrences(submission_record& record, wall_time wall)
+{
+    // What was due stays due when the time of day jumps back.
+    record.m_due_occurrences =
+        std::max(record.m_due_occurrences, count_due(record.m_definition, unix_ms(wall)));
+    std::size_t waiting = 0;
+    for (auto& [number, occurrence] : record.m_occurrences) {
+        occurrence.m_due = occurrence.m_due || number < record.m_due_occurrences;
+        waiting += has_ready_task(occurrence) ? 1 : 0;
+    }
+    const std::size_t max_waiting = max_waiting_occurrences(record.m_definition);
+    while (record.m_next_occurrence < record.m_due_occurrences && waiting < max_waiting) {
+        const std::uint32_t number = record.m_next_occurrence++;
+        if (is_done(record, number)) {
             continue;
         }
-        for (scheduled_task& task : occurrence.m_steps[i]) {
-            if (task.m_phase == task_phase::blocked) {
-                set_phase(occurrence, static_cast<std::uint32_t>(i), task, task_phase::ready);
-            }
+        const bool is_new = !record.m_occurrences.contains(number);
+        create_occurrence(record, number).m_due = true;
+        waiting += is_new ? 1 : 0;
+    }
+}
+
+void mark_done(
+    submission_record& record, const task_name& name,
+    const std::function<void(const scheduled_task& task, std::uint32_t index)>& before_each)
+{
+    occurrence_state& occurrence = record.m_occurrences.at(name.m_occurrence);
+    step_tasks& step = occurrence.m_steps[name.m_step];
+    const bool whole_step = record.m_definition.m_steps[name.m_step].m_gang;
+    const std::uint32_t first = whole_step ? 0 : name.m_index;
+    const std::uint32_t last = whole_step ? step.m_count : name.m_index + 1;
+    for (std::uint32_t index = first; index < last; ++index) {
+        if (!is_done(step, index)) {
+            before_each(view_task(step, index), index);
+            finish(step, index);
         }
     }
+    if (step.m_unfinished > 0) {
+        return;
+    }
+    if (--occurrence.m_unfinished_steps > 0) {
+        unblock_steps(record, occurrence);
+        return;
+    }
+    record.m_occurrences.erase(name.m_occurrence);
+    --record.m_unfinished_occurrences;
+    if (record.m_done_occurrences.empty()) {
+        record.m_done_occurrences.resize(occurrence_count(record.m_definition));
+    }
+    record.m_done_occurrences[name.m_occurrence] = true;
 }
 
 void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall)
@@ -334,7 +462,7 @@
         }
         else {
             // It belongs to the cancellation of an unknown id, whose entry follows.
-            early_cancellation& early = state.m_cancelled_early[owner->m_id];
+            early_cancellation& early = remember_early(state, owner->m_id);
             early.m_organisations.insert(owner->m_organisation);
             early.m_stored_ms = 0;
         }
@@ -541,12 +669,26 @@
 
 std::optional<log_batch> take_batch(shard& state)
 {
-    if (state.m_pending.m_entries.empty() && state.m_pending.m_ends.empty()) {
+    std::vector<log_entry>& entries = state.m_pending.m_entries;
+    if (entries.empty() && state.m_pending.m_ends.empty()) {
         return std::nullopt;
     }
-    log_batch batch = std::move(state.m_pending);
+    std::size_t bytes = 0;
+    auto end = entries.begin();
+    while (end != entries.end() &&
+           (bytes <= max_batch_bytes || belong_together(*std::prev(end), *end))) {
+        bytes += encoded_bytes(*end);
+        ++end;
+    }
+    log_batch batch;
     batch.m_number = state.m_next_batch++;
-    state.m_pending = {};
+    batch.m_entries.assign(std::make_move_iterator(entries.begin()), std::make_move_iterator(end));
+    entries.erase(entries.begin(), end);
+    // Ends of runs are durable with the last of the entries that tell them.
+    if (entries.empty()) {
+        batch.m_ends = std::exchange(state.m_pending.m_ends, {});
+        entries = {};
+    }
     return batch;
 }
 
@@ -556,7 +698,12 @@
         if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
             const auto found = state.m_submissions.find(accepted->m_id);
             if (found != state.m_submissions.end()) {
-                found->second->m_accept_stored = true;
+                submission_record& record = *found->second;
+                record.m_accept_stored = true;
+                if (!record.m_final_decided) {
+                    record.m_memory.hold(state.m_budget, memory_use_of(record.m_definition),
+                                         open_submission_bytes(record.m_definition));
+                }
                 state.m_ranking_stale = true;
             }
         }
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,9 +18,11 @@
 #include "schedule/locality_state.h"
 #include "schedule/organisation_accounts.h"
 #include "schedule/run_times.h"
+#include "schedule/step_tasks.h"
 #include "schedule/stray_runs.h"
 #include "submission/queue_contract.h"
 #include "submission/submission.h"
+#include "submission/submission_budget.h"
 #include "submission/submission_log.h"
 #include "worker/worker.h"
 #include "worker/worker_order.h"
@@ -44,34 +47,12 @@
     double m_quota_overage = 0;   ///< Tolerated share above the cap of an organisation.
 };
 
-/// Progress of a task: waiting for earlier steps, startable, on a worker, or finished.
-enum class task_phase : std::uint8_t { blocked, ready, placed, done };
-
-struct worker_record;
-
-/// One task of one occurrence.
-struct scheduled_task {
-    task_phase m_phase = task_phase::blocked;
-    std::vector<run_number> m_failed_runs; ///< Each counts as one attempt.
-    worker_record* m_worker = nullptr;     ///< The worker it is placed on; null otherwise.
-    run_number m_run;
-    std::string m_checkpoint;
-    worker_id m_failed_on;             ///< Worker of the last failure.
-    time_point m_not_before{};         ///< Earliest next start; spaces retries.
-    time_point m_started_at{};         ///< While it is placed: when its run was ordered.
-    time_point m_expected_end{};       ///< While it is placed: when its run should end.
-    bool m_available = false;          ///< Long-running tasks: it reported 100 percent.
-    bool m_moved_by_scheduler = false; ///< Unavailable because the scheduler ordered a move.
-};
-
-/// One repetition of all steps of a submission.
+/// One repetition of all steps of a submission, from the moment at which its tasks may start, or at
+/// which a former owner is found to have started one, until it is done.
 struct occurrence_state {
-    bool m_created = false; ///< Its tasks exist: it is due, or a former owner has started it.
-    bool m_due = false;     ///< Its time has come by this owner's clock, so its tasks may start.
-    bool m_done = false;
-    std::vector<std::vector<scheduled_task>> m_steps;
-    std::vector<std::uint32_t> m_unfinished_tasks; ///< Per step: tasks that are not done.
-    std::vector<std::uint32_t> m_ready_tasks;      ///< Per step: tasks in the phase ready.
+    bool m_due = false; ///< Its time has come by this owner's clock, so its tasks may start.
+    std::vector<step_tasks> m_steps;
+    std::uint32_t m_unfinished_steps = 0; ///< Steps with tasks that are not done.
 };
 
 /// Urgency of a submission; a lower tier gets capacity first.
@@ -91,6 +72,7 @@
     organisation_account* m_account = nullptr;
     bool m_is_beyond_rate = false; ///< Its organisation had sent more than its weight grants.
     submission m_definition;
+    held_memory m_memory;
     std::int64_t m_accepted_ms = 0;     ///< Unix time.
     milliseconds m_waited_to_return{0}; ///< From the first, refused attempt to the accepted one.
     time_point m_arrived{};
@@ -114,7 +96,13 @@
     submission_run_times m_run_times;                  ///< What its own tasks have told.
     double m_remaining_core_ms = 0;            ///< Core-milliseconds, by corrected estimates.
     milliseconds m_remaining_critical_path{0}; ///< By corrected estimates.
-    std::vector<occurrence_state> m_occurrences;
+    std::map<std::uint32_t, occurrence_state> m_occurrences; ///< By number; not done.
+    std::uint32_t m_unfinished_occurrences = 0; ///< Those that are not done, also later ones.
+    std::uint32_t m_next_occurrence = 0;        ///< All smaller numbers have been created.
+    std::uint32_t m_due_occurrences = 0;        ///< All smaller numbers were due when last checked.
+    std::vector<bool> m_done_occurrences;       ///< By number; empty until one is done.
+    /// Occurrence and step with which the next planning pass begins, if it is still to start.
+    std::pair<std::uint32_t, std::uint32_t> m_resume_at;
 };
 
 /// Progress of a run: start not answered yet, known to run, or being stopped.
@@ -279,6 +267,7 @@
 struct early_cancellation {
     std::set<organisation_id> m_organisations; ///< The empty id stands for public routes.
     std::int64_t m_stored_ms = 0; ///< Unix time at which it became durable; zero before.
+    held_memory m_memory;
 };
 
 /// A submission that was refused and may be handed in again.
@@ -296,7 +285,8 @@
     service_id m_service;
     fencing_token m_token;
     schedule_bounds m_bounds;
-    std::map<queue_id, queue_contract> m_queues; ///< From the configuration.
+    boost::intrusive_ptr<submission_budget> m_budget; ///< Null without a limit of memory.
+    std::map<queue_id, queue_contract> m_queues;      ///< From the configuration.
     /// From the log; they apply to submissions whose queue the configuration no longer has.
     std::map<queue_id, queue_contract> m_logged_contracts;
     /// From the configuration; empty if it has no organisations. One that the configuration no
@@ -316,6 +306,9 @@
     std::uint64_t m_next_batch = 1;
     std::vector<worker_order> m_orders; ///< Orders that have not been handed out for sending.
     std::int64_t m_next_run = 0;
+    /// Limits of the runs on all workers, and of those that one planning pass may start.
+    std::size_t m_max_runs = std::numeric_limits<std::size_t>::max();
+    std::size_t m_max_new_starts = std::numeric_limits<std::size_t>::max();
     bool m_may_start = false;       ///< The store confirmed this owner; starts are allowed.
     bool m_may_hold = false;        ///< Worker leases may still be renewed.
     bool m_lost = false;            ///< Another owner was seen.
@@ -418,7 +411,10 @@
 /// submissions don't count.
 std::size_t pending_count(const shard& state, const queue_id& queue);
 
-/// Moves the pending entries out for writing; empty if there are none.
+/// True if a cancellation of an id may be remembered: there is room, or it is known.
+bool has_room_for_cancellation(const shard& state, const submission_id& id);
+
+/// Moves pending entries out for writing, as many as one record holds; empty if there are none.
 std::optional<log_batch> take_batch(shard& state);
 
 /// Records that a batch is durable: publishes its states, executes its cancellations and marks its
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -11,11 +11,13 @@
 /// A submission and one of its tasks.
 struct found_task {
     submission_record* m_record = nullptr;
-    occurrence_state* m_occurrence = nullptr;
-    std::uint32_t m_step = 0;
-    scheduled_task* m_task = nullptr;
+    step_tasks* m_step = nullptr;
+    scheduled_task* m_task = nullptr; ///< Null if the task is done.
 };
 
+/// The cancellation of an id that was not accepted, made if it is not known yet.
+early_cancellation& remember_early(shard& state, const submission_id& id);
+
 /// Finds a task; all pointers are null if it does not exist or its submission's final state is
 /// decided.
 found_task find_task(shard& state, const task_name& name);
@@ -24,10 +26,6 @@
 /// inherited submission's occurrence that this owner has not reached yet.
 found_task find_or_create_task(shard& state, const task_name& name);
 
-/// Moves a task of a step to another phase and keeps the step's count of ready tasks.
-void set_phase(occurrence_state& occurrence, std::uint32_t step, scheduled_task& task,
-               task_phase phase);
-
 /// The contract of a submission's queue: of the configuration, else of the log, else a default one.
 const queue_contract& contract_of(const shard& state, const submission_record& record);
 
@@ -57,11 +55,19 @@
 time_point expected_end(const shard& state, const submission_record& record, milliseconds estimate,
                         time_point started, time_point now);
 
-/// Creates the tasks of an occurrence and makes the tasks of its first steps ready.
-void create_occurrence(submission_record& record, std::uint32_t number);
+/// Prepares the occurrences of a new record. Creates the only one of a submission that does not
+/// repeat.
+void begin_occurrences(submission_record& record);
+
+/// Creates an occurrence that is not done and makes the tasks of its first steps ready.
+occurrence_state& create_occurrence(submission_record& record, std::uint32_t number);
+
+/// Creates the occurrences whose time has come. While many of them have tasks that could start and
+/// have not, the later ones wait, so that their number follows what runs.
+void create_due_occurrences(submission_record& record, wall_time wall);
 
-/// Makes the blocked tasks ready whose earlier steps are done.
-void unblock_steps(submission_record& record, occurrence_state& occurrence);
+/// True if an occurrence is done.
+bool is_done(const submission_record& record, std::uint32_t occurrence);
 
 /// Unix time in milliseconds at which an occurrence is due; zero for a submission that does not
 /// repeat.
@@ -93,10 +99,12 @@
 /// Marks a run for stop orders. A detached run's task does not wait for the run's end.
 void stop_run(shard& state, worker_record& worker, run_slot& slot, bool detach);
 
-/// Marks a task as done in its occurrence, and the occurrence with its last task. With a task of a
-/// gang all of its members are done: they only end so together, and one end stands for all.
-void mark_done(const submission_record& record, occurrence_state& occurrence, const task_name& name,
-               const std::function<void(scheduled_task& task, std::uint32_t index)>& before_each);
+/// Marks a task as done, makes the tasks ready that waited for it, and forgets its occurrence with
+/// the last task. With a task of a gang all of its members are done: they only end so together, and
+/// one end stands for all.
+void mark_done(
+    submission_record& record, const task_name& name,
+    const std::function<void(const scheduled_task& task, std::uint32_t index)>& before_each);
 
 /// True when all occurrences of a submission are done.
 bool is_done(const submission_record& record);
--- a/src/schedule/worker_choice.cpp
+++ b/src/schedule/worker_choice.cpp
@@ -56,11 +56,12 @@
 std::uint32_t count_step_tasks_in_rack(const placement_request& request,
                                        const worker_record& worker)
 {
-    const std::vector<scheduled_task>& tasks =
-        request.m_record->m_occurrences[request.m_name.m_occurrence].m_steps[request.m_name.m_step];
+    const auto& occurrence = request.m_record->m_occurrences.at(request.m_name.m_occurrence);
+    const auto& tasks = occurrence.m_steps[request.m_name.m_step].m_started;
     return static_cast<std::uint32_t>(
-        std::count_if(tasks.begin(), tasks.end(), [&](const scheduled_task& task) {
-            return task.m_worker != nullptr && task.m_worker->m_info.m_rack == worker.m_info.m_rack;
+        std::count_if(tasks.begin(), tasks.end(), [&](const auto& entry) {
+            const worker_record* other = entry.second.m_worker;
+            return other != nullptr && other->m_info.m_rack == worker.m_info.m_rack;
         }));
 }
 
@@ -75,6 +76,9 @@
     });
 }
 
+/// Demands that are remembered as fitting on no worker.
+constexpr std::size_t max_unplaceable_demands = 64;
+
 /// True when a demand that is no larger has already fitted on no worker in this pass.
 bool is_unplaceable(const candidate_workers& candidates, const resources& demand)
 {
@@ -190,7 +194,9 @@
     candidate_workers candidates;
     std::int64_t capacity = 0;
     std::int64_t in_use = 0;
+    std::size_t runs = 0;
     for (const auto& [id, worker] : state.m_workers) {
+        runs += worker->m_runs.size();
         if (worker->m_listed) {
             capacity += worker->m_info.m_capacity.m_cpu_millis;
             in_use += worker->m_reserved.m_cpu_millis;
@@ -203,6 +209,9 @@
     }
     candidates.m_max_reserved =
         std::min(max_reserved_workers, std::max<std::size_t>(1, candidates.m_workers.size() / 2));
+    candidates.m_runs_left = state.m_max_runs > runs ? state.m_max_runs - runs : 0;
+    candidates.m_starts_left = state.m_max_new_starts;
+    candidates.m_has_runs = runs > 0;
     if (in_use * 2 >= capacity) {
         state.m_half_used_at = now;
     }
@@ -238,7 +247,7 @@
             best_cost = cost;
         }
     }
-    if (!any_fits) {
+    if (!any_fits && candidates.m_unplaceable.size() < max_unplaceable_demands) {
         candidates.m_unplaceable.push_back(request.m_demand);
     }
     return best;
--- a/src/schedule/worker_choice.h
+++ b/src/schedule/worker_choice.h
@@ -34,6 +34,9 @@
     std::vector<reserved_worker> m_reserved; ///< No longer among m_workers.
     std::vector<resources> m_unplaceable;    ///< Demands that fit on no worker.
     std::size_t m_max_reserved = 0;          ///< Limit of reserved workers in this pass.
+    std::size_t m_starts_left = 0;           ///< Orders that may still be given in this pass.
+    std::size_t m_runs_left = 0;             ///< Runs that the limit of all runs leaves.
+    bool m_has_runs = false;                 ///< A worker had a run when the pass began.
     bool m_has_rooms = false; ///< The rooms of the candidates are known, from the first reservation
                               ///< in the pass on.
     std::map<std::string, place_forecast> m_places; ///< By rack; only those that tasks wait for.
--- a/src/submission/submission_log.cpp
+++ b/src/submission/submission_log.cpp
@@ -6,6 +6,7 @@
 
 #include "core/result.h"
 #include "peer/bounded_archive.h"
+#include "submission/submission_cost.h"
 
 namespace guavabay {
 
@@ -155,6 +156,18 @@
     archive(value.m_id, value.m_organisation);
 }
 
+std::size_t encoded_bytes(const log_entry& entry)
+{
+    constexpr std::size_t small_entry_bytes = 256;
+    if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
+        return small_entry_bytes + encoded_submission_bytes(accepted->m_submission);
+    }
+    if (const auto* released = std::get_if<log_ownership_released>(&entry)) {
+        return small_entry_bytes * (1 + released->m_busy_workers.size());
+    }
+    return small_entry_bytes;
+}
+
 std::string encode_log(const std::vector<log_entry>& entries)
 {
     return encode_value(entries);
--- a/src/submission/submission_log.h
+++ b/src/submission/submission_log.h
@@ -95,6 +95,9 @@
                  log_worker_used, log_worker_gone, log_ownership_released, log_ownership_taken,
                  log_queue_contract, log_worker_incarnation, log_submission_organisation>;
 
+/// Upper bound of the encoded size of an entry, in bytes.
+std::size_t encoded_bytes(const log_entry& entry);
+
 /// Encodes the entries that are written to the store in one record.
 std::string encode_log(const std::vector<log_entry>& entries);
 
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -82,8 +82,7 @@
         step.m_task_count = 90;
         step.m_demand = one_task;
         record->m_definition.m_steps.push_back(step);
-        record->m_occurrences.resize(1);
-        create_occurrence(*record, 0);
+        begin_occurrences(*record);
         state.m_open_submissions.insert(record.get());
         state.m_submissions[record->m_id] = std::move(record);
     }
--- a/tests/schedule/cancelled_work_test.cpp
+++ b/tests/schedule/cancelled_work_test.cpp
@@ -377,7 +377,7 @@
     // The step has planned after the report.
     CHECK_FALSE(worker.m_lease_ended);
     const submission_record& record = *lasting.m_state.m_submissions.at(lasting.m_id);
-    CHECK(record.m_occurrences[0].m_steps[0][0].m_phase == task_phase::placed);
+    CHECK(view_task(record.m_occurrences.at(0).m_steps[0], 0).m_phase == task_phase::placed);
 }
 
 // Guards against a worker that gets no starts: a call to its former address was refused by the
