Ask one budget for the memory of what callers hand in

Callers saw: a process that ended. Nothing bounded what accepted submissions hold together: 1,000 bodies of 780 bytes with 256 steps took 108 MB of 64, 150 with a list of 120,000 earlier steps 106 MB, 60 that wait for a silent store with their copies 100 MB. 100,000 cancellations of ids that nobody submitted, which have to be remembered, took 36 MB of 32. Several submissions that were larger together than a value of the store made the owner give its shard up, and callers got 504; so did a single one.

All owners of a process now share a budget of a quarter of its memory. A submission asks it for what its definition will take, with its copies until it is stored; a refusal is 429 with the time in which the accepted work will be done. Lasting work may have half of it and such cancellations (503) an eighth; submissions over 16 KiB leave an eighth to smaller ones. A final state counts until it is forgotten, which is sooner when memory is short, but not while it may be asked for. What can never be held or stored gets 413.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -11,6 +11,7 @@
 #include "platform/store_calls.h"
 #include "platform/worker_calls.h"
 #include "schedule/quota_holder.h"
+#include "submission/submission_cost.h"
 
 namespace guavabay {
 
@@ -111,13 +112,14 @@
 
 dispatcher::dispatcher(asio::io_context& context, host_settings settings)
     : m_context(context), m_settings(std::move(settings)),
-      m_budget(std::make_shared<connection_budget>()), m_self{m_settings.m_host,
-                                                              make_incarnation(),
-                                                              format_address(
-                                                                  m_settings.m_peer_address),
-                                                              m_settings.m_zone,
-                                                              false,
-                                                              m_settings.m_capacity},
+      m_budget(std::make_shared<connection_budget>()),
+      m_submission_budget(make_submission_budget(m_settings.m_memory_mb)),
+      m_self{m_settings.m_host,
+             make_incarnation(),
+             format_address(m_settings.m_peer_address),
+             m_settings.m_zone,
+             false,
+             m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
       m_worker_client(m_client),
       m_relayed_calls(context,
@@ -273,6 +275,7 @@
     dependencies.m_host = m_self.m_host;
     dependencies.m_advice_address = m_settings.m_advice_address;
     dependencies.m_bounds = m_settings.m_bounds;
+    dependencies.m_budget = m_submission_budget;
     dependencies.m_lease_valid_until = [this] { return m_registry.lease_valid_until(); };
     dependencies.m_store_unreachable_for_all = [this] { return is_store_unreachable_for_all(); };
     auto owner = std::make_shared<shard_owner>(std::move(dependencies), shard, token);
@@ -534,6 +537,7 @@
     const std::shared_ptr<shard_owner> owner = found->second;
     if (auto* submit = std::get_if<submit_request>(&message)) {
         std::optional<submission> decoded = decode_submission_bytes(submit->m_submission);
+        submit->m_submission = {};
         if (!decoded) {
             log_warning("dispatch: cannot decode submission id=" + submit->m_id.str() + ": " +
                         last_reason());
@@ -619,13 +623,21 @@
                                                          organisation_id organisation,
                                                          caller_request request)
 {
-    const std::optional<submission> decoded = platform::decode_submission(request.m_body);
+    std::optional<submission> decoded = platform::decode_submission(request.m_body);
+    // The call may wait for the store; only one copy of the submission waits with it.
+    request.m_body = {};
     if (!decoded) {
         co_return make_answer(http_status::bad_request, R"({"error":")" + last_reason() + "\"}");
     }
+    if (encoded_submission_bytes(*decoded) > max_stored_submission_bytes ||
+        !may_ever_have_room(*m_submission_budget, memory_use_of(*decoded),
+                            new_submission_bytes(*decoded))) {
+        co_return make_answer(http_status::too_large, R"({"error":"the submission is too large"})");
+    }
     const service_id service = route.m_contract.m_service;
     submit_request submit{service, route.m_contract.m_queue, id, encode_submission(*decoded),
                           std::move(organisation)};
+    decoded.reset();
     host_message message(std::move(submit));
     const owner_reply reply =
         co_await call_owner(service, std::move(message), owner_timeout(request.m_timeout));
@@ -706,6 +718,7 @@
          static_cast<double>(m_worker_client.relay_failures()));
     line("guavabay_caller_connections", static_cast<double>(m_caller_server.open_connections()));
     text += format_budget_metrics(*m_budget);
+    text += format_submission_metrics(*m_submission_budget);
     const time_point now = read_boot_clock();
     for (const auto& [service, owner] : m_owners) {
         const shard& state = owner->state();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -100,8 +100,9 @@
 
     asio::io_context& m_context;
     host_settings m_settings;
-    std::shared_ptr<connection_budget> m_budget; ///< Of all ports.
-    host_record m_self;                          ///< This host, as registered in the store.
+    std::shared_ptr<connection_budget> m_budget;                 ///< Of all ports.
+    boost::intrusive_ptr<submission_budget> m_submission_budget; ///< Of all owners.
+    host_record m_self; ///< This host, as registered in the store.
     http_client m_client;
     store_client m_store;
     worker_client m_worker_client;
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -125,6 +125,10 @@
     m_shard.m_service = std::move(service);
     m_shard.m_token = fencing_token(token.get());
     m_shard.m_bounds = m_dependencies.m_bounds;
+    m_shard.m_budget = m_dependencies.m_budget;
+    if (m_shard.m_budget) {
+        m_shard.m_max_runs = max_runs(*m_shard.m_budget);
+    }
     // With the token in the upper bits, the run numbers of an owner are above those of all earlier
     // owners.
     constexpr unsigned run_bits = 20;
@@ -770,6 +774,13 @@
         reply.m_answer = owner_answer::forbidden;
         co_return reply;
     }
+    if (!has_room_for_cancellation(m_shard, id)) {
+        ++m_shard.m_budget->m_refusals;
+        log_info("shard: cancellations of unknown ids refused, their memory is used up service=" +
+                 m_shard.m_service.str());
+        reply.m_answer = owner_answer::refused;
+        co_return reply;
+    }
     note_cancellation(m_shard, id, read_boot_clock());
     flush_log_lines();
     const bool known = guavabay::cancel(m_shard, id, organisation);
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -28,6 +28,7 @@
     host_id m_host;
     std::optional<ip_address> m_advice_address;
     schedule_bounds m_bounds;
+    boost::intrusive_ptr<submission_budget> m_budget; ///< Of all owners of this host.
     /// Boot-clock time until which no other host can have taken over the shard.
     std::function<time_point()> m_lease_valid_until;
     /// True if the store answers no host, so that no other host can take over the shard.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -4,6 +4,7 @@
 
 #include "schedule/fair_share.h"
 #include "schedule/shard_steps.h"
+#include "submission/submission_cost.h"
 
 namespace guavabay {
 
@@ -88,6 +89,25 @@
     return {admission::refused, retry_after, reason};
 }
 
+/// Refuses a submission if the memory for accepted ones is used up.
+std::optional<admission_result> check_memory(shard& state, const submission_record& record,
+                                             time_point now)
+{
+    const submission& what = record.m_definition;
+    if (!state.m_budget ||
+        has_room(*state.m_budget, memory_use_of(what), new_submission_bytes(what))) {
+        return std::nullopt;
+    }
+    ++state.m_budget->m_refusals;
+    refused_submission& refused = remember_refusal(state, record, now);
+    const pool_capacity& capacity = current_capacity(state, now);
+    const duration room_in =
+        capacity.m_usable_cores > 0
+            ? estimate_work_time(capacity, measure_accepted_work(state, now).m_total)
+            : max_retry_after;
+    return refuse_until(refused, room_in, now, "the memory for accepted submissions is used up");
+}
+
 /// Refuses a submission if the work of the whole pool delays it beyond its hard deadline.
 std::optional<admission_result> check_pool_backlog(shard& state, const submission_record& record,
                                                    const pool_capacity& capacity, time_point now)
@@ -315,6 +335,9 @@
     }
     set_deadlines(state, *record);
 
+    if (const std::optional<admission_result> refusal = check_memory(state, *record, now)) {
+        return *refusal;
+    }
     // Refuse work that the backlog would delay beyond its hard deadline.
     const pool_capacity& capacity = current_capacity(state, now);
     if (capacity.m_usable_cores > 0 && !long_running && record->m_definition.m_repeat_count == 0) {
@@ -337,6 +360,8 @@
     record->m_remaining_critical_path = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(critical_path_length(record->m_definition).count()) * factor));
     begin_occurrences(*record);
+    record->m_memory.hold(state.m_budget, memory_use_of(record->m_definition),
+                          new_submission_bytes(record->m_definition));
     note_acceptance(state, id, now);
     log_contract(state, queue);
     state.m_pending.m_entries.emplace_back(
@@ -371,11 +396,18 @@
     state.m_ranking_stale = true;
 }
 
+bool has_room_for_cancellation(const shard& state, const submission_id& id)
+{
+    return !state.m_budget || state.m_submissions.contains(id) ||
+           state.m_cancelled_early.contains(id) ||
+           has_room(*state.m_budget, memory_use::cancellations, cancellation_bytes);
+}
+
 bool cancel(shard& state, const submission_id& id, const organisation_id& organisation)
 {
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
-        state.m_cancelled_early[id].m_organisations.insert(organisation);
+        remember_early(state, id).m_organisations.insert(organisation);
         if (!organisation.empty()) {
             state.m_pending.m_entries.emplace_back(log_submission_organisation{id, organisation});
         }
--- a/tests/hostile/hostile_submissions_test.cpp
+++ b/tests/hostile/hostile_submissions_test.cpp
@@ -95,6 +95,92 @@
     CHECK(host.accepts(ordinary_id));
 }
 
+TEST_CASE("accepted submissions together do not exhaust the memory", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t count = 1000;
+    const auto answers = exchange(host.m_callers, submit_each(many_steps, count), 16);
+    CHECK(are_accepted_or_refused(answers));
+    CHECK(answers.front().m_status == http_status::ok);
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
+TEST_CASE("lists of earlier steps do not exhaust the memory", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t count = 150;
+    constexpr std::size_t list_length = 120000;
+    const std::string body = R"({"steps":[{},{"after":)" + repeat_json("0", list_length) + "}]}";
+    const auto answers = exchange(host.m_callers, submit_each(body, count), 8);
+    CHECK(are_accepted_or_refused(answers));
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
+TEST_CASE("large submissions that wait for the store do not exhaust the memory",
+          "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    REQUIRE(host.accepts(ordinary_id));
+    host.stall_store();
+    constexpr std::size_t count = 60;
+    constexpr std::size_t label_bytes = 400000;
+    exchange(host.m_callers, submit_each(label_of(label_bytes), count), count);
+    check_resources(*host.m_program, max_sockets);
+}
+
+TEST_CASE("submissions that are larger together than a record of the store cost no shard",
+          "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t count = 12;
+    constexpr std::size_t label_bytes = 700000;
+    const auto answers = exchange(host.m_callers, submit_each(label_of(label_bytes), count), count);
+    CHECK(are_accepted_or_refused(answers));
+    CHECK(count_status(answers, http_status::ok) > 0);
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
+TEST_CASE("a submission that the store cannot hold is refused for good", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t label_bytes = 1500000;
+    const auto answers = exchange(host.m_callers, submit_each(label_of(label_bytes), 1), 1);
+    CHECK(answers.front().m_status == http_status::too_large);
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
+TEST_CASE("cancellations of unknown ids do not exhaust the memory", "[hostile_callers]")
+{
+    constexpr std::size_t small_memory_mb = 32;
+    dispatch_process host({{"memory-mb", std::to_string(small_memory_mb)}}, common_limits);
+    REQUIRE(host.answers());
+    constexpr std::size_t count = 100000;
+    constexpr std::size_t connections = 250;
+    std::vector<std::string> requests;
+    for (std::size_t i = 0; i < count; ++i) {
+        requests.push_back("DELETE /queue/" + make_id(i) +
+                           " HTTP/1.1\r\nHost: callers.example\r\n\r\n");
+    }
+    const auto answers = exchange(host.m_callers, requests, connections);
+    CHECK(answers.front().m_status == http_status::gone);
+    check_resources(*host.m_program, max_sockets, small_memory_mb);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
 TEST_CASE("the tasks of a submission in the log do not exhaust the memory", "[hostile_callers]")
 {
     std::vector<log_entry> entries;
