Bound the orders to workers that are under way

Callers saw: a process that ended. Tasks that ask for no resources fit on any worker in any number: one submission with 256 steps of 10,000 such tasks made a process with one worker order 2.56 million starts at once, each with a connection and a copy of the specification, in 6.4 GB of 64 MB. Orders now wait for one of a quarter of the sockets, in the order of their arrival; a planning round starts no more than are free, and the runs of a shard are bounded by the memory of its host. A start gets its specification when it is sent, and is withheld if its submission has ended by then.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -122,6 +122,8 @@
              m_settings.m_capacity},
       m_client(context, max_idle_connections), m_store(m_client, m_settings.m_store_address),
       m_worker_client(m_client),
+      m_orders(context,
+               derive_budget_limits(m_settings.m_memory_mb, m_settings.m_max_descriptors).m_orders),
       m_relayed_calls(context,
                       derive_budget_limits(m_settings.m_memory_mb, m_settings.m_max_descriptors)
                           .m_relayed_calls),
@@ -271,6 +273,7 @@
     dependencies.m_context = &m_context;
     dependencies.m_http = &m_client;
     dependencies.m_workers = &m_worker_client;
+    dependencies.m_orders = &m_orders;
     dependencies.m_store = &m_store;
     dependencies.m_host = m_self.m_host;
     dependencies.m_advice_address = m_settings.m_advice_address;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -106,6 +106,7 @@
     http_client m_client;
     store_client m_store;
     worker_client m_worker_client;
+    call_limiter m_orders;        ///< To workers, of all owners.
     call_limiter m_relayed_calls; ///< To workers and to the store, for peers.
     host_link m_peer_link;
     peer_table m_peer_table;
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -290,6 +290,9 @@
     }
     update_permissions();
     m_last_plan_at = read_boot_clock();
+    if (m_dependencies.m_orders != nullptr) {
+        m_shard.m_max_new_starts = m_dependencies.m_orders->free_calls();
+    }
     try {
         plan(m_shard, m_last_plan_at, read_wall_clock());
     }
@@ -358,20 +361,40 @@
     return found == m_shard.m_workers.end() ? zone_id() : found->second->m_info.m_zone;
 }
 
-asio::awaitable<void> shard_owner::send_order(worker_order order)
+bool shard_owner::complete_start(worker_order& order) const
 {
-    if (m_stopped) {
-        co_return;
+    if (order.m_kind != worker_order::kind::start) {
+        return true;
     }
     // The lease may have expired while this process was suspended. Another host may then own the
     // shard, so that the order must not be sent.
-    if (order.m_kind == worker_order::kind::start && !is_lease_valid() &&
-        !m_dependencies.m_store_unreachable_for_all()) {
-        apply_order_answer(m_shard, order, order_outcome::withheld, read_boot_clock(),
-                           read_wall_clock());
+    const bool may_send = is_lease_valid() || m_dependencies.m_store_unreachable_for_all();
+    const auto found = m_shard.m_submissions.find(order.m_task.m_submission);
+    if (!may_send || found == m_shard.m_submissions.end() || found->second->m_final_decided) {
+        return false;
+    }
+    order.m_spec = found->second->m_definition.m_spec;
+    return true;
+}
+
+asio::awaitable<void> shard_owner::send_order(worker_order order)
+{
+    if (m_stopped) {
         co_return;
     }
     ++m_orders_in_flight;
+    std::optional<call_limiter::permit> permit;
+    if (m_dependencies.m_orders != nullptr) {
+        permit.emplace(co_await m_dependencies.m_orders->acquire());
+    }
+    if (m_stopped || !complete_start(order)) {
+        --m_orders_in_flight;
+        if (!m_stopped) {
+            apply_order_answer(m_shard, order, order_outcome::withheld, read_boot_clock(),
+                               read_wall_clock());
+        }
+        co_return;
+    }
     worker_order copy = order;
     const fencing_token token = token_of(m_shard, order.m_worker);
     order_outcome outcome = co_await m_dependencies.m_workers->send_order(
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -11,6 +11,7 @@
 #include "dispatch/store_client.h"
 #include "dispatch/worker_client.h"
 #include "dispatch/worker_directory.h"
+#include "net/call_limiter.h"
 #include "peer/host_message.h"
 #include "schedule/advice.h"
 #include "schedule/departures.h"
@@ -24,6 +25,7 @@
     asio::io_context* m_context = nullptr;
     http_client* m_http = nullptr; ///< For the advice service.
     worker_client* m_workers = nullptr;
+    call_limiter* m_orders = nullptr; ///< Bounds the orders to workers; null for no bound.
     store_client* m_store = nullptr;
     host_id m_host;
     std::optional<ip_address> m_advice_address;
@@ -172,6 +174,9 @@
     [[nodiscard]] zone_id zone_of(const worker_id& worker) const;
     /// Sends an order to a worker and applies its answer.
     asio::awaitable<void> send_order(worker_order order);
+    /// Adds what a start needs beside the scheduler's decision. False if the start must not be sent
+    /// any more.
+    bool complete_start(worker_order& order) const;
     /// Sends the next request to the advice service, if there is one.
     void request_advice();
     /// Sends a request to the advice service and applies the reply.
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -100,7 +100,6 @@
     order.m_address = worker.m_info.m_address;
     order.m_task = request.m_name;
     order.m_run = run;
-    order.m_spec = request.m_record->m_definition.m_spec;
     order.m_checkpoint = task.m_checkpoint;
     if (request.m_needs_ticket) {
         const std::string* ticket = find_ticket(state, request.m_name, worker.m_info.m_id, now);
--- a/tests/hostile/hostile_submissions_test.cpp
+++ b/tests/hostile/hostile_submissions_test.cpp
@@ -71,6 +71,17 @@
     CHECK(host.accepts(ordinary_id));
 }
 
+TEST_CASE("tasks without demands do not exhaust descriptors and memory", "[hostile_callers]")
+{
+    dispatch_process host(descriptor_settings, common_limits, {{}, true});
+    REQUIRE(host.answers());
+    const auto answers = exchange(host.m_callers, submit_each(many_tasks, 1), 1);
+    CHECK(answers.front().m_status == http_status::ok);
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+    CHECK(host.accepts(ordinary_id));
+}
+
 TEST_CASE("repetitions that are due at once do not exhaust the memory", "[hostile_callers]")
 {
     dispatch_process host(memory_settings, common_limits);
