Take over a log that holds more than the memory does

Callers saw: a process that ended, and the next owner of the shard after it. A log with 2,000 open submissions of 256 steps took 235 MB of 64 in a take-over: the whole log was read before its first entry was replayed, and all of it became state.

The log is now replayed page by page. An accepted submission for which the budget has no room is kept by its id: it is answered for, counts as pending and can be cancelled, but none of its tasks starts. When others have ended, the log is read again from its record on, and it is taken up with its later entries as soon as no worker has a run of it. Ends of its runs that workers report meanwhile go to the log. The log says how many wait, and so do the metrics.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -728,6 +728,8 @@
         const std::string labels = "{service=\"" + service.str() + "\"}";
         line("guavabay_open_submissions" + labels,
              static_cast<double>(state.m_open_submissions.size()));
+        line("guavabay_deferred_submissions" + labels,
+             static_cast<double>(state.m_deferred.size()));
         line("guavabay_workers" + labels, static_cast<double>(state.m_workers.size()));
         line("guavabay_worker_restarts_total" + labels, static_cast<double>(state.m_restarts));
         line("guavabay_starts_total" + labels, static_cast<double>(state.m_starts));
--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -22,6 +22,9 @@
 /// Time limit of a call to the advice service, which serves the calls of one host one at a time.
 constexpr milliseconds advice_timeout{3000};
 
+/// Interval of readings of the log for submissions that wait for memory.
+constexpr milliseconds deferred_interval{1000};
+
 /// Pause between two writes of the log; entries that arrive meanwhile form one batch.
 constexpr milliseconds write_interval{25};
 
@@ -408,54 +411,112 @@
     schedule_plan();
 }
 
-asio::awaitable<bool> shard_owner::load_log()
+std::optional<std::vector<log_entry>> shard_owner::decode_record(const store_item& item,
+                                                                 std::uint64_t& number) const
+{
+    const std::optional<std::uint64_t> parsed =
+        parse_log_number(item.m_key.substr(m_log_prefix.size()));
+    if (!parsed) {
+        log_error("shard: " + item.m_key + " is not a record of the log");
+        return std::nullopt;
+    }
+    number = *parsed;
+    std::optional<std::vector<log_entry>> entries = decode_log(item.m_value);
+    if (!entries) {
+        log_error("shard: " + item.m_key + " cannot be decoded: " + last_reason());
+    }
+    return entries;
+}
+
+asio::awaitable<bool> shard_owner::read_log(std::string& after, record_handler handle)
 {
-    std::vector<store_item> items;
-    std::string after;
     bool more = true;
-    while (more) {
+    while (more && !m_stopped) {
         const http_answer answer = co_await m_dependencies.m_store->call(
             platform::encode_range(m_log_prefix, after, false), read_timeout);
-        range_result page = platform::decode_range(answer);
+        const range_result page = platform::decode_range(answer);
         if (!page.m_ok) {
             co_return false;
         }
         more = page.m_more && !page.m_items.empty();
-        for (store_item& item : page.m_items) {
+        for (const store_item& item : page.m_items) {
             after = item.m_key;
-            items.push_back(std::move(item));
+            std::uint64_t number = 0;
+            const std::optional<std::vector<log_entry>> entries = decode_record(item, number);
+            handle(number, entries ? *entries : std::vector<log_entry>());
         }
     }
-    const time_point now = read_boot_clock();
-    const wall_time wall = read_wall_clock();
-    for (const store_item& item : items) {
-        const std::optional<std::uint64_t> number =
-            parse_log_number(item.m_key.substr(m_log_prefix.size()));
-        if (!number) {
-            log_error("shard: " + item.m_key + " is not a record of the log");
-            continue;
-        }
+    co_return !m_stopped;
+}
+
+asio::awaitable<bool> shard_owner::load_log()
+{
+    const auto replay_record = [this](std::uint64_t number, const std::vector<log_entry>& entries) {
         // Also a record that cannot be decoded occupies its number.
-        m_next_log_number = std::max(m_next_log_number, *number + 1);
-        const std::optional<std::vector<log_entry>> entries = decode_log(item.m_value);
-        if (!entries) {
-            log_error("shard: " + item.m_key + " cannot be decoded: " + last_reason());
-            continue;
-        }
-        for (const log_entry& entry : *entries) {
-            replay_entry(m_shard, entry, now, wall);
+        m_next_log_number = std::max(m_next_log_number, number + 1);
+        ++m_replayed_records;
+        const time_point now = read_boot_clock();
+        const wall_time wall = read_wall_clock();
+        for (const log_entry& entry : entries) {
+            replay_entry(m_shard, entry, now, wall, number);
         }
+    };
+    if (!co_await read_log(m_replayed_through, replay_record)) {
+        co_return false;
     }
-    finish_replay(m_shard, now, wall);
+    finish_replay(m_shard, read_boot_clock(), read_wall_clock());
     log_info("shard: loaded service=" + m_shard.m_service.str() +
-             " records=" + std::to_string(items.size()) +
+             " records=" + std::to_string(m_replayed_records) +
              " submissions=" + std::to_string(m_shard.m_submissions.size()) +
              " open=" + std::to_string(m_shard.m_open_submissions.size()) +
+             " deferred=" + std::to_string(m_shard.m_deferred.size()) +
              " awaited_workers=" + std::to_string(m_shard.m_awaited_workers.size()) +
              " token=" + std::to_string(m_shard.m_token.get()));
+    if (!m_shard.m_deferred.empty()) {
+        log_warning("shard: accepted submissions wait for memory service=" +
+                    m_shard.m_service.str());
+        spawn(*m_dependencies.m_context, "the reading of deferred submissions",
+              [self = shared_from_this()]() { return self->take_up_deferred(); });
+    }
     co_return true;
 }
 
+asio::awaitable<void> shard_owner::take_up_deferred()
+{
+    asio::steady_timer timer(*m_dependencies.m_context);
+    error_code ignored;
+    while (!m_stopped && !m_shard.m_deferred.empty()) {
+        timer.expires_after(deferred_interval);
+        co_await timer.async_wait(to_coroutine(ignored));
+        const std::optional<std::uint64_t> first = find_deferred_record(m_shard);
+        if (m_stopped || !first) {
+            continue;
+        }
+        std::unordered_set<submission_id> taken_up;
+        std::string after = log_key(*first - 1);
+        const auto replay_record = [this, &taken_up](std::uint64_t /*number*/,
+                                                     const std::vector<log_entry>& entries) {
+            const time_point now = read_boot_clock();
+            const wall_time wall = read_wall_clock();
+            for (const log_entry& entry : entries) {
+                replay_deferred(m_shard, entry, taken_up, now, wall);
+            }
+        };
+        while (!m_stopped && !co_await read_log(after, replay_record)) {
+            timer.expires_after(deferred_interval);
+            co_await timer.async_wait(to_coroutine(ignored));
+        }
+        if (m_stopped) {
+            co_return;
+        }
+        finish_deferred(m_shard, taken_up, read_wall_clock());
+        log_info("shard: deferred submissions taken up service=" + m_shard.m_service.str() +
+                 " count=" + std::to_string(taken_up.size()) +
+                 " left=" + std::to_string(m_shard.m_deferred.size()));
+        schedule_plan();
+    }
+}
+
 asio::awaitable<void> shard_owner::run()
 {
     retry_backoff pause;
@@ -585,10 +646,14 @@
 
 std::string shard_owner::next_log_key() const
 {
-    char number[24];
-    std::snprintf(number, sizeof number, "%012llu",
-                  static_cast<unsigned long long>(m_next_log_number));
-    return m_log_prefix + number;
+    return log_key(m_next_log_number);
+}
+
+std::string shard_owner::log_key(std::uint64_t number) const
+{
+    char text[24];
+    std::snprintf(text, sizeof text, "%012llu", static_cast<unsigned long long>(number));
+    return m_log_prefix + text;
 }
 
 asio::awaitable<bool> shard_owner::write_batch(log_batch& batch)
@@ -743,7 +808,7 @@
         reply.m_answer = owner_answer::forbidden;
         co_return reply;
     }
-    const bool known = m_shard.m_submissions.contains(id);
+    const bool known = is_known(m_shard, id);
     if (m_store_failing && !m_writing && read_boot_clock() > m_store_retry_at) {
         // No write is pending that would show whether the store has recovered, so this
         // submission probes it.
@@ -808,7 +873,7 @@
     flush_log_lines();
     const bool known = guavabay::cancel(m_shard, id, organisation);
     const auto found = m_shard.m_submissions.find(id);
-    if (known && found->second->m_final_decided &&
+    if (known && found != m_shard.m_submissions.end() && found->second->m_final_decided &&
         found->second->m_visible == found->second->m_final) {
         reply.m_answer = owner_answer::done;
         co_return reply;
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -142,8 +142,21 @@
     void start_worker_loops();
     /// Writes the log lines that the scheduler has collected.
     void flush_log_lines();
+    /// Called with the number of a record of the log and its entries, which are none if it cannot
+    /// be decoded.
+    using record_handler = std::function<void(std::uint64_t, const std::vector<log_entry>&)>;
+
+    /// Decodes a record of the log and its number; empty, with a line in the log, if it is
+    /// malformed.
+    std::optional<std::vector<log_entry>> decode_record(const store_item& item,
+                                                        std::uint64_t& number) const;
+    /// Hands on the records of the log behind a key, page by page, and moves the key on. False if
+    /// the store did not answer, so that a further call goes on, or if this owner was stopped.
+    asio::awaitable<bool> read_log(std::string& after, record_handler handle);
     /// Reads and replays the log; false if the store did not answer.
     asio::awaitable<bool> load_log();
+    /// Reads submissions that wait for memory from the log as soon as there is room for them.
+    asio::awaitable<void> take_up_deferred();
     /// Loads the log, with retries, then serves until stopped.
     asio::awaitable<void> run();
     /// Runs a planning round at least once per interval.
@@ -154,8 +167,9 @@
     asio::awaitable<void> write_log_loop();
     /// Stops, and removes the owner record unless another host owns the shard.
     void abandon(const std::string& reason);
-    /// Store key of the next log record.
+    /// Store key of the next log record, and of one with a number.
     [[nodiscard]] std::string next_log_key() const;
+    [[nodiscard]] std::string log_key(std::uint64_t number) const;
     /// Removes the owner record, so that another host can take the shard over; with a closing log
     /// entry, both or neither.
     asio::awaitable<commit_outcome> remove_owner_record(bool with_closing_entry);
@@ -192,6 +206,8 @@
     departures m_departures;
     std::string m_log_prefix;
     std::uint64_t m_next_log_number = 1; ///< Number of the next log record.
+    std::string m_replayed_through;      ///< Key of the last record that was replayed.
+    std::size_t m_replayed_records = 0;
     bool m_stopped = false;
     bool m_releasing = false;
     bool m_has_workers = false;  ///< The workers were set from the platform's list.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -288,8 +288,12 @@
 bool is_accessible(const shard& state, const submission_id& id, const organisation_id& organisation)
 {
     const auto found = state.m_submissions.find(id);
-    return found == state.m_submissions.end() || found->second->m_organisation.empty() ||
-           found->second->m_organisation == organisation;
+    const auto deferred = state.m_deferred.find(id);
+    const organisation_id owner = found != state.m_submissions.end() ? found->second->m_organisation
+                                  : deferred != state.m_deferred.end()
+                                      ? deferred->second.m_organisation
+                                      : organisation_id();
+    return owner.empty() || owner == organisation;
 }
 
 void set_deadlines(const shard& state, submission_record& record)
@@ -310,6 +314,9 @@
                        submission what, time_point now, wall_time wall,
                        const organisation_id& organisation)
 {
+    if (state.m_deferred.contains(id)) {
+        return {admission::already_stored, seconds(0), {}};
+    }
     const auto found = state.m_submissions.find(id);
     if (found != state.m_submissions.end()) {
         return {found->second->m_accept_stored ? admission::already_stored : admission::accepted,
@@ -398,13 +405,18 @@
 
 bool has_room_for_cancellation(const shard& state, const submission_id& id)
 {
-    return !state.m_budget || state.m_submissions.contains(id) ||
-           state.m_cancelled_early.contains(id) ||
+    return !state.m_budget || is_known(state, id) || state.m_cancelled_early.contains(id) ||
            has_room(*state.m_budget, memory_use::cancellations, cancellation_bytes);
 }
 
 bool cancel(shard& state, const submission_id& id, const organisation_id& organisation)
 {
+    const auto deferred = state.m_deferred.find(id);
+    if (deferred != state.m_deferred.end()) {
+        deferred->second.m_cancel_requested = true;
+        state.m_pending.m_entries.emplace_back(log_cancelled{id});
+        return true;
+    }
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
         remember_early(state, id).m_organisations.insert(organisation);
--- a/src/schedule/ranking.cpp
+++ b/src/schedule/ranking.cpp
@@ -421,7 +421,7 @@
     std::vector<milliseconds> step_ends;
     for (submission_record* record : state.m_open_submissions) {
         // No task starts before its submission is stored: a later owner would not know about it.
-        if (record->m_cancel_requested || !record->m_accept_stored) {
+        if (record->m_cancel_requested || !record->m_accept_stored || record->m_is_incomplete) {
             continue;
         }
         if (record->m_run_times.m_changed) {
--- a/src/schedule/reports.cpp
+++ b/src/schedule/reports.cpp
@@ -299,6 +299,9 @@
         erase_run(state, worker, worker.m_runs.find({end.m_task, end.m_run}));
     }
     if (found.m_task == nullptr) {
+        if (end.m_outcome == run_end::done || end.m_outcome == run_end::failed) {
+            note_deferred_end(state, end.m_task, end.m_outcome == run_end::done, end.m_run);
+        }
         return;
     }
     found.m_record->m_started = true;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -53,8 +53,13 @@
     return added;
 }
 
-void replay(shard& state, const log_accepted& entry, time_point now, wall_time wall)
+void replay(shard& state, const log_accepted& entry, time_point now, wall_time wall,
+            std::uint64_t log_number)
 {
+    state.m_cancelled_early.erase(entry.m_id);
+    if (defer_if_short(state, entry, log_number)) {
+        return;
+    }
     auto record = std::make_unique<submission_record>();
     record->m_id = entry.m_id;
     record->m_queue = entry.m_queue;
@@ -70,13 +75,19 @@
                           open_submission_bytes(record->m_definition));
     state.m_open_submissions.insert(record.get());
     state.m_submissions[entry.m_id] = std::move(record);
-    state.m_cancelled_early.erase(entry.m_id);
 }
 
 void replay_task_end(shard& state, const log_task_ended& entry)
 {
+    const auto deferred = state.m_deferred.find(entry.m_task.m_submission);
+    if (deferred != state.m_deferred.end()) {
+        deferred->second.m_started = true;
+        return;
+    }
     const found_task task = find_or_create_task(state, entry.m_task);
-    if (task.m_task == nullptr) {
+    // The ends of long-running tasks are only in the log of submissions that were deferred.
+    if (task.m_task == nullptr ||
+        task.m_record->m_definition.m_steps[entry.m_task.m_step].m_long_running) {
         return;
     }
     task.m_record->m_started = true;
@@ -90,6 +101,9 @@
 void replay_final(shard& state, const submission_id& id, submission_state final_state,
                   std::int64_t closed_ms)
 {
+    if (close_deferred(state, id, final_state, closed_ms)) {
+        return;
+    }
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
         if (final_state == submission_state::canceled) {
@@ -402,10 +416,11 @@
     record.m_done_occurrences[name.m_occurrence] = true;
 }
 
-void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall)
+void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall,
+                  std::uint64_t log_number)
 {
     if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
-        replay(state, *accepted, now, wall);
+        replay(state, *accepted, now, wall, log_number);
     }
     else if (const auto* ended = std::get_if<log_task_ended>(&entry)) {
         replay_task_end(state, *ended);
@@ -418,6 +433,7 @@
     }
     else if (const auto* forgotten = std::get_if<log_purged>(&entry)) {
         state.m_submissions.erase(forgotten->m_id);
+        state.m_deferred.erase(forgotten->m_id);
         state.m_cancelled_early.erase(forgotten->m_id);
     }
     else if (const auto* used = std::get_if<log_worker_used>(&entry)) {
@@ -457,9 +473,13 @@
     }
     else if (const auto* owner = std::get_if<log_submission_organisation>(&entry)) {
         const auto found = state.m_submissions.find(owner->m_id);
+        const auto deferred = state.m_deferred.find(owner->m_id);
         if (found != state.m_submissions.end()) {
             found->second->m_organisation = owner->m_organisation;
         }
+        else if (deferred != state.m_deferred.end()) {
+            deferred->second.m_organisation = owner->m_organisation;
+        }
         else {
             // It belongs to the cancellation of an unknown id, whose entry follows.
             early_cancellation& early = remember_early(state, owner->m_id);
@@ -480,6 +500,7 @@
 void finish_replay(shard& state, time_point now, wall_time wall)
 {
     state.m_loaded = true;
+    note_reading(state);
     state.m_pending.m_entries.emplace_back(log_ownership_taken{state.m_token.get()});
     state.m_awaited_until = now + state.m_bounds.m_unproven_renewal_time +
                             longest_real_time(state.m_bounds.m_worker_lease);
@@ -644,8 +665,17 @@
     }
 }
 
+bool is_known(const shard& state, const submission_id& id)
+{
+    return state.m_submissions.contains(id) || state.m_deferred.contains(id);
+}
+
 std::optional<submission_state> state_of(const shard& state, const submission_id& id)
 {
+    const auto deferred = state.m_deferred.find(id);
+    if (deferred != state.m_deferred.end()) {
+        return deferred->second.m_started ? submission_state::running : submission_state::pending;
+    }
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end() || !found->second->m_accept_stored) {
         return std::nullopt;
@@ -659,12 +689,19 @@
 
 std::size_t pending_count(const shard& state, const queue_id& queue)
 {
-    return static_cast<std::size_t>(std::count_if(
-        state.m_open_submissions.begin(), state.m_open_submissions.end(),
-        [&](const submission_record* record) {
-            return record->m_queue == queue && record->m_accept_stored && !record->m_started &&
-                   !record->m_cancel_requested && record->m_definition.m_repeat_count == 0;
-        }));
+    const auto open =
+        std::count_if(state.m_open_submissions.begin(), state.m_open_submissions.end(),
+                      [&](const submission_record* record) {
+                          return record->m_queue == queue && record->m_accept_stored &&
+                                 !record->m_started && !record->m_cancel_requested &&
+                                 record->m_definition.m_repeat_count == 0;
+                      });
+    const auto deferred =
+        std::count_if(state.m_deferred.begin(), state.m_deferred.end(), [&](const auto& entry) {
+            return entry.second.m_queue == queue && !entry.second.m_started &&
+                   !entry.second.m_cancel_requested;
+        });
+    return static_cast<std::size_t>(open + deferred);
 }
 
 std::optional<log_batch> take_batch(shard& state)
@@ -730,6 +767,7 @@
             }
         }
         else if (const auto* cancelled = std::get_if<log_cancelled>(&entry)) {
+            close_deferred(state, cancelled->m_id, submission_state::canceled, unix_ms(wall));
             const auto found = state.m_submissions.find(cancelled->m_id);
             // Without the request it was an early cancellation of another organisation.
             if (found != state.m_submissions.end() && found->second->m_cancel_requested &&
--- a/src/schedule/shard.h
+++ b/src/schedule/shard.h
@@ -13,6 +13,7 @@
 
 #include "contract/organisation.h"
 #include "core/time.h"
+#include "schedule/deferred_submissions.h"
 #include "schedule/image_pair_model.h"
 #include "schedule/incarnation_guard.h"
 #include "schedule/locality_state.h"
@@ -84,10 +85,11 @@
     /// It was read from the log, so that a former owner may have started any of its tasks on a
     /// worker that has not reported to this owner yet.
     bool m_inherited = false;
-    bool m_started = false;     ///< A worker has, or has had, a run of one of its tasks.
-    bool m_wait_logged = false; ///< The log says already that one of its tasks has no worker.
-    bool m_starving = false;    ///< Its last ranking put it first, because it had waited for long.
-    time_point m_last_start{};  ///< When a start of one of its tasks was last ordered.
+    bool m_is_incomplete = false; ///< Later entries of the log about it are still to be replayed.
+    bool m_started = false;       ///< A worker has, or has had, a run of one of its tasks.
+    bool m_wait_logged = false;   ///< The log says already that one of its tasks has no worker.
+    bool m_starving = false;   ///< Its last ranking put it first, because it had waited for long.
+    time_point m_last_start{}; ///< When a start of one of its tasks was last ordered.
     bool m_final_decided = false;
     submission_state m_visible = submission_state::pending; ///< The state that callers are told.
     submission_state m_final = submission_state::succeeded;
@@ -300,6 +302,8 @@
     std::unordered_set<submission_record*> m_open_submissions; ///< Final state not decided.
     std::unordered_map<submission_id, refused_submission> m_refused;
     std::unordered_map<submission_id, early_cancellation> m_cancelled_early;
+    deferred_submissions m_deferred;   ///< Open; not among m_submissions.
+    std::size_t m_held_at_reading = 0; ///< Bytes of the budget after the last reading of the log.
     std::map<worker_id, std::unique_ptr<worker_record>> m_workers;
 
     log_batch m_pending; ///< Entries that have not been handed out for writing.
@@ -355,9 +359,10 @@
     std::vector<std::string> m_log_lines; ///< Log messages for the caller to write.
 };
 
-/// Applies one log entry during the replay after a takeover. `now` is the runtime's clock, `wall`
-/// the Unix time.
-void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall);
+/// Applies one log entry, of a record with a number, during the replay after a takeover. `now` is
+/// the runtime's clock, `wall` the Unix time.
+void replay_entry(shard& state, const log_entry& entry, time_point now, wall_time wall,
+                  std::uint64_t log_number = 0);
 
 /// Completes the replay, closes submissions whose ends are all in the log, and queues a log entry
 /// for the takeover.
@@ -404,6 +409,9 @@
 /// that arrives later.
 bool cancel(shard& state, const submission_id& id, const organisation_id& organisation = {});
 
+/// True if a submission was accepted and not forgotten.
+bool is_known(const shard& state, const submission_id& id);
+
 /// The state to report to callers; empty if the submission is unknown or not stored yet.
 std::optional<submission_state> state_of(const shard& state, const submission_id& id);
 
--- a/src/submission/submission_budget.cpp
+++ b/src/submission/submission_budget.cpp
@@ -33,11 +33,6 @@
     return budget.m_held_bytes.at(static_cast<std::size_t>(use));
 }
 
-std::size_t total_held(const submission_budget& budget)
-{
-    return std::accumulate(budget.m_held_bytes.begin(), budget.m_held_bytes.end(), std::size_t{0});
-}
-
 /// Bytes that a use may hold.
 std::size_t max_bytes_of(const submission_budget& budget, memory_use use)
 {
@@ -129,6 +124,11 @@
     return bytes <= std::min(max_bytes_of(budget, use), max_total(budget, bytes));
 }
 
+std::size_t total_held(const submission_budget& budget)
+{
+    return std::accumulate(budget.m_held_bytes.begin(), budget.m_held_bytes.end(), std::size_t{0});
+}
+
 bool is_short(const submission_budget& budget)
 {
     return total_held(budget) > budget.m_max_bytes - budget.m_max_bytes / short_divisor;
--- a/src/submission/submission_budget.h
+++ b/src/submission/submission_budget.h
@@ -66,6 +66,9 @@
 /// True if an empty budget would have room.
 bool may_ever_have_room(const submission_budget& budget, memory_use use, std::size_t bytes);
 
+/// Bytes that are held for all uses.
+std::size_t total_held(const submission_budget& budget);
+
 /// True if final states should be forgotten as soon as nobody may ask for them any more.
 bool is_short(const submission_budget& budget);
 
--- a/tests/hostile/hostile_submissions_test.cpp
+++ b/tests/hostile/hostile_submissions_test.cpp
@@ -4,6 +4,7 @@
 #include "hostile/hostile_checks.h"
 #include "net/http_status.h"
 #include "submission/submission_log.h"
+#include "support/loopback.h"
 
 using namespace guavabay;
 using namespace guavabay::test;
@@ -37,6 +38,15 @@
     return R"({"steps":[{"image":")" + std::string(bytes, 'i') + R"("}]})";
 }
 
+/// Number of submissions that wait for memory, by the metrics.
+std::size_t count_deferred(const dispatch_process& host)
+{
+    const std::string name = "guavabay_deferred_submissions{service=\"service-a\"} ";
+    const std::string text = exchange(host.m_metrics, {get_request("/metrics")}, 1).front().m_body;
+    const std::size_t at = text.find(name);
+    return at == std::string::npos ? 0 : std::stoul(text.substr(at + name.size()));
+}
+
 /// Log records of accepted submissions of a number of steps each.
 std::vector<std::string> make_log(std::size_t submissions, std::size_t steps)
 {
@@ -211,6 +221,36 @@
     CHECK(host.accepts(ordinary_id));
 }
 
+TEST_CASE("a log with more submissions than the memory holds is taken over", "[hostile_callers]")
+{
+    constexpr std::size_t count = 2000;
+    dispatch_process host(memory_settings, common_limits, {make_log(count, max_steps), false});
+    CHECK(host.answers());
+    check_resources(*host.m_program, max_sockets);
+    // Nothing that was accepted is lost.
+    for (const std::uint64_t id : {std::uint64_t{0}, std::uint64_t{count - 1}}) {
+        CHECK(has_status_in_time(host.m_callers, get_request("/queue/" + make_id(id)),
+                                 http_status::ok));
+    }
+    CHECK(host.answers());
+    // What ends leaves room for others.
+    const std::size_t before = count_deferred(host);
+    CHECK(before > 0);
+    std::vector<std::string> cancellations;
+    constexpr std::size_t ended = 100; ///< The oldest ones, which were loaded first.
+    for (std::size_t i = 0; i < ended; ++i) {
+        cancellations.push_back("DELETE /queue/" + make_id(i) +
+                                " HTTP/1.1\r\nHost: callers.example\r\n\r\n");
+    }
+    CHECK(count_status(exchange(host.m_callers, cancellations, 16), http_status::ok) == ended);
+    const time_point end = read_clock() + wait_limit;
+    while (count_deferred(host) >= before && read_clock() < end) {
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    CHECK(count_deferred(host) < before);
+    check_resources(*host.m_program, max_sockets);
+}
+
 TEST_CASE("demands that fit on no worker do not stop a process", "[hostile_callers]")
 {
     constexpr std::size_t memory_mb = 1024;
