Check the submissions that peers send, and the ranges of their numbers

A host ended when a frame on the port for peers held a step that comes after step 4,000,000,000: the checks were made where a caller's body is decoded, not where a peer's submission is taken. Both now pass the same check. It also names each earlier step once in a list, however often a caller repeats it, and brings amounts and times into ranges in which the scheduler's sums cannot overflow, which was undefined behaviour: what exceeds them is more than any worker has or any owner lives.

The new test with the real program failed before (the process had ended) and passes now, one run each.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -541,7 +541,7 @@
     if (auto* submit = std::get_if<submit_request>(&message)) {
         std::optional<submission> decoded = decode_submission_bytes(submit->m_submission);
         submit->m_submission = {};
-        if (!decoded) {
+        if (!decoded || !normalise(*decoded)) {
             log_warning("dispatch: cannot decode submission id=" + submit->m_id.str() + ": " +
                         last_reason());
             reply.m_answer = owner_answer::refused;
--- a/src/submission/submission.cpp
+++ b/src/submission/submission.cpp
@@ -8,6 +8,61 @@
 
 namespace guavabay {
 
+namespace {
+
+/// Largest amount of a resource that a task may ask for.
+constexpr std::int64_t max_amount = 1000000000;
+
+/// Longest estimate and interval, and latest first start before and after 1970, in milliseconds.
+constexpr std::int64_t max_length_ms = 10000000000;
+constexpr std::int64_t max_unix_ms = 1000000000000000;
+
+bool normalise_step(submission_step& step, std::size_t index)
+{
+    if (step.m_task_count == 0 || step.m_task_count > max_step_tasks) {
+        fail("a step has from 1 to 10000 tasks");
+        return false;
+    }
+    std::vector<std::uint32_t>& after = step.m_after;
+    std::sort(after.begin(), after.end());
+    after.erase(std::unique(after.begin(), after.end()), after.end());
+    after.shrink_to_fit();
+    if (!after.empty() && after.back() >= index) {
+        fail("a step can only come after earlier ones");
+        return false;
+    }
+    const auto clamp = [](std::int64_t amount) {
+        return std::clamp<std::int64_t>(amount, 0, max_amount);
+    };
+    step.m_demand = {clamp(step.m_demand.m_cpu_millis), clamp(step.m_demand.m_memory_mb),
+                     clamp(step.m_demand.m_accelerators)};
+    step.m_estimate = std::clamp(step.m_estimate, std::chrono::milliseconds(0),
+                                 std::chrono::milliseconds(max_length_ms));
+    return true;
+}
+
+} // namespace
+
+bool normalise(submission& what)
+{
+    if (what.m_steps.empty() || what.m_steps.size() > max_submission_steps) {
+        fail("a submission has from 1 to 256 steps");
+        return false;
+    }
+    if (what.m_repeat_count > max_repeats) {
+        fail("repeat-count is from 0 to 100000");
+        return false;
+    }
+    what.m_first_start_ms = std::clamp(what.m_first_start_ms, -max_unix_ms, max_unix_ms);
+    what.m_interval_ms = std::clamp<std::int64_t>(what.m_interval_ms, 0, max_length_ms);
+    for (std::size_t i = 0; i < what.m_steps.size(); ++i) {
+        if (!normalise_step(what.m_steps[i], i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::string to_string(const task_name& name)
 {
     return name.m_submission.str() + '.' + std::to_string(name.m_occurrence) + '.' +
--- a/src/submission/submission.h
+++ b/src/submission/submission.h
@@ -71,6 +71,18 @@
     bool operator==(const submission&) const = default;
 };
 
+/// Limits of a submission.
+inline constexpr std::size_t max_submission_steps = 256;
+inline constexpr std::uint32_t max_step_tasks = 10000;
+inline constexpr std::uint32_t max_repeats = 100000;
+
+/// Brings a submission that another process sent into the form that the scheduler relies on: a list
+/// of earlier steps names each once, and amounts and times are within ranges in which their sums
+/// are exact. What exceeds these is more than any worker has or any owner lives. Returns false,
+/// with the cause in last_reason(), if a limit is exceeded or a step comes after one that is not
+/// earlier.
+bool normalise(submission& what);
+
 /// State of a submission as reported to its caller. The order of the values matters: the final
 /// states come last, and the submission log stores the numeric value.
 enum class submission_state : std::uint8_t { pending, running, succeeded, failed, canceled };
--- a/tests/hostile/hostile_peers_test.cpp
+++ b/tests/hostile/hostile_peers_test.cpp
@@ -4,6 +4,7 @@
 #include "hostile/hostile_checks.h"
 #include "net/http_status.h"
 #include "peer/host_message.h"
+#include "submission/submission_log.h"
 #include "support/local_host.h"
 
 using namespace guavabay;
@@ -63,6 +64,27 @@
     CHECK(host.answers());
 }
 
+TEST_CASE("a step after one that does not exist does not end the process", "[hostile_callers]")
+{
+    dispatch_process host(memory_settings, common_limits);
+    REQUIRE(host.answers());
+    REQUIRE(host.accepts(1));
+    submission what;
+    what.m_steps.resize(2);
+    constexpr std::uint32_t no_step = 4000000000;
+    what.m_steps[1].m_after = {no_step};
+    submit_request request;
+    request.m_service = service_id("service-a");
+    request.m_queue = queue_id("queue");
+    request.m_id = submission_id(make_id(2));
+    request.m_submission = encode_submission(what);
+    client_crowd clients(host.m_peers, 1);
+    const std::string frame = encode_frame(1, request);
+    clients.flood(frame, "", frame.size());
+    check_resources(*host.m_program, max_sockets);
+    CHECK(host.answers());
+}
+
 TEST_CASE("a frame of many empty texts does not exhaust the memory", "[hostile_callers]")
 {
     dispatch_process host(memory_settings, common_limits);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
+#include <limits>
 #include <random>
 
 #include "core/result.h"
@@ -329,4 +330,22 @@
     SUCCEED();
 }
 
+TEST_CASE("a submission's lists and numbers are brought into the ranges of the scheduler",
+          "[platform]")
+{
+    const auto decoded = decode_submission(
+        R"({"steps":[{"cpu":9000000000000000000,"estimate-ms":9000000000000000000},)"
+        R"({"after":[0,0,0]}],"repeat-count":100000,"start-at-ms":9000000000000000000,)"
+        R"("interval-ms":9000000000000000000})");
+    REQUIRE(decoded.has_value());
+    CHECK(decoded->m_steps[1].m_after == std::vector<std::uint32_t>{0});
+    // Sums over all steps, tasks and occurrences are exact.
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t tasks = 256 * 10000;
+    CHECK(decoded->m_steps[0].m_demand.m_cpu_millis <= most / tasks);
+    CHECK(critical_path_length(*decoded).count() <= most / 256);
+    CHECK(decoded->m_first_start_ms <= most / 2);
+    CHECK(decoded->m_interval_ms <= most / 2 / decoded->m_repeat_count);
+}
+
 } // namespace guavabay::platform
