Describe the memory of submissions; name the deferred ones by the usual terms

The time that a pool needs for its work is limited before it is converted, which overflowed for estimates that no pool meets.

--- a/src/dispatch/shard_owner.cpp
+++ b/src/dispatch/shard_owner.cpp
@@ -476,12 +476,12 @@
         log_warning("shard: accepted submissions wait for memory service=" +
                     m_shard.m_service.str());
         spawn(*m_dependencies.m_context, "the reading of deferred submissions",
-              [self = shared_from_this()]() { return self->take_up_deferred(); });
+              [self = shared_from_this()]() { return self->load_deferred(); });
     }
     co_return true;
 }
 
-asio::awaitable<void> shard_owner::take_up_deferred()
+asio::awaitable<void> shard_owner::load_deferred()
 {
     asio::steady_timer timer(*m_dependencies.m_context);
     error_code ignored;
@@ -492,14 +492,14 @@
         if (m_stopped || !first) {
             continue;
         }
-        std::unordered_set<submission_id> taken_up;
+        std::unordered_set<submission_id> loaded;
         std::string after = log_key(*first - 1);
-        const auto replay_record = [this, &taken_up](std::uint64_t /*number*/,
-                                                     const std::vector<log_entry>& entries) {
+        const auto replay_record = [this, &loaded](std::uint64_t /*number*/,
+                                                   const std::vector<log_entry>& entries) {
             const time_point now = read_boot_clock();
             const wall_time wall = read_wall_clock();
             for (const log_entry& entry : entries) {
-                replay_deferred(m_shard, entry, taken_up, now, wall);
+                replay_deferred(m_shard, entry, loaded, now, wall);
             }
         };
         while (!m_stopped && !co_await read_log(after, replay_record)) {
@@ -509,9 +509,9 @@
         if (m_stopped) {
             co_return;
         }
-        finish_deferred(m_shard, taken_up, read_wall_clock());
-        log_info("shard: deferred submissions taken up service=" + m_shard.m_service.str() +
-                 " count=" + std::to_string(taken_up.size()) +
+        finish_deferred(m_shard, loaded, read_wall_clock());
+        log_info("shard: deferred submissions loaded service=" + m_shard.m_service.str() +
+                 " count=" + std::to_string(loaded.size()) +
                  " left=" + std::to_string(m_shard.m_deferred.size()));
         schedule_plan();
     }
--- a/src/dispatch/shard_owner.h
+++ b/src/dispatch/shard_owner.h
@@ -156,7 +156,7 @@
     /// Reads and replays the log; false if the store did not answer.
     asio::awaitable<bool> load_log();
     /// Reads submissions that wait for memory from the log as soon as there is room for them.
-    asio::awaitable<void> take_up_deferred();
+    asio::awaitable<void> load_deferred();
     /// Loads the log, with retries, then serves until stopped.
     asio::awaitable<void> run();
     /// Runs a planning round at least once per interval.
--- a/src/schedule/admission.cpp
+++ b/src/schedule/admission.cpp
@@ -419,7 +419,7 @@
     }
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
-        remember_early(state, id).m_organisations.insert(organisation);
+        remember_cancellation(state, id).m_organisations.insert(organisation);
         if (!organisation.empty()) {
             state.m_pending.m_entries.emplace_back(log_submission_organisation{id, organisation});
         }
--- a/src/schedule/deferred_submissions.cpp
+++ b/src/schedule/deferred_submissions.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-bool defer_if_short(shard& state, const log_accepted& entry, std::uint64_t log_number)
+bool defer_if_full(shard& state, const log_accepted& entry, std::uint64_t log_number)
 {
     if (has_room_for(state, entry.m_submission)) {
         return false;
@@ -109,7 +109,7 @@
 }
 
 void replay_deferred(shard& state, const log_entry& entry,
-                     std::unordered_set<submission_id>& taken_up, time_point now, wall_time wall)
+                     std::unordered_set<submission_id>& loaded, time_point now, wall_time wall)
 {
     if (const auto* accepted = std::get_if<log_accepted>(&entry)) {
         const auto found = state.m_deferred.find(accepted->m_id);
@@ -124,19 +124,18 @@
         submission_record& record = *state.m_submissions.at(accepted->m_id);
         record.m_organisation = organisation;
         record.m_is_incomplete = true;
-        taken_up.insert(accepted->m_id);
+        loaded.insert(accepted->m_id);
         return;
     }
     const auto* ended = std::get_if<log_task_ended>(&entry);
-    if (ended != nullptr && taken_up.contains(ended->m_task.m_submission)) {
+    if (ended != nullptr && loaded.contains(ended->m_task.m_submission)) {
         replay_entry(state, entry, now, wall);
     }
 }
 
-void finish_deferred(shard& state, const std::unordered_set<submission_id>& taken_up,
-                     wall_time wall)
+void finish_deferred(shard& state, const std::unordered_set<submission_id>& loaded, wall_time wall)
 {
-    for (const submission_id& id : taken_up) {
+    for (const submission_id& id : loaded) {
         const auto found = state.m_submissions.find(id);
         if (found == state.m_submissions.end() || found->second->m_final_decided) {
             continue;
@@ -153,10 +152,10 @@
         }
     }
     state.m_ranking_stale = true;
-    note_reading(state);
+    note_log_reading(state);
 }
 
-void note_reading(shard& state)
+void note_log_reading(shard& state)
 {
     // What has become free since then is worth the next reading.
     state.m_held_at_reading = state.m_budget ? total_held(*state.m_budget) : 0;
--- a/src/schedule/deferred_submissions.h
+++ b/src/schedule/deferred_submissions.h
@@ -9,8 +9,8 @@
 #include "submission/submission_log.h"
 
 // Accepted submissions of a shard's log for which the host has no memory yet. The owner knows their
-// ids and answers for them. It reads them from the log again when there is room; until then none of
-// their tasks starts, and what workers report of them goes to the log.
+// ids and answers for them. It loads them from the log when there is room; until then none of their
+// tasks starts, and the ends of runs that workers report are appended to the log.
 namespace guavabay {
 
 struct shard;
@@ -28,7 +28,7 @@
 
 /// Keeps an accepted submission that is replayed only by its id if there is no room for it. Returns
 /// whether it did.
-bool defer_if_short(shard& state, const log_accepted& entry, std::uint64_t log_number);
+bool defer_if_full(shard& state, const log_accepted& entry, std::uint64_t log_number);
 
 /// Closes a deferred submission: it is known by its final state from then on. Returns false if
 /// there is none with this id.
@@ -40,21 +40,20 @@
 bool note_deferred_end(shard& state, const task_name& task, bool is_done, run_number run);
 
 /// Number of the record with which a reading of the log for deferred submissions begins; empty if
-/// none of them may be taken up now, because there is no room or runs of former owners may go on.
+/// none of them may be loaded now, because there is no room or runs of former owners may go on.
 std::optional<std::uint64_t> find_deferred_record(const shard& state);
 
-/// Applies an entry of the log to the deferred submissions: takes up those for which there is room,
-/// and replays their later entries. `taken_up` holds the ids of the present reading, and is empty
+/// Applies an entry of the log to the deferred submissions: loads those for which there is room,
+/// and replays their later entries. `loaded` holds the ids of the present reading, and is empty
 /// when it begins.
 void replay_deferred(shard& state, const log_entry& entry,
-                     std::unordered_set<submission_id>& taken_up, time_point now, wall_time wall);
+                     std::unordered_set<submission_id>& loaded, time_point now, wall_time wall);
 
 /// Records the memory in use at the end of a reading of the log: without more room than then,
 /// another one would find the same.
-void note_reading(shard& state);
+void note_log_reading(shard& state);
 
 /// Completes the submissions of a reading that came to the end of the log.
-void finish_deferred(shard& state, const std::unordered_set<submission_id>& taken_up,
-                     wall_time wall);
+void finish_deferred(shard& state, const std::unordered_set<submission_id>& loaded, wall_time wall);
 
 } // namespace guavabay
--- a/src/schedule/demand.cpp
+++ b/src/schedule/demand.cpp
@@ -40,6 +40,9 @@
 /// Share of a machine's capacity that tasks of different sizes can fill.
 constexpr double packing_efficiency = 0.9;
 
+/// Limit of computed times, for work that would never be done.
+constexpr double longest_work_ms = 1e9;
+
 /// The value of an exponentially decaying sum after some time has passed.
 double decayed(double value, double passed_ms, double window_ms)
 {
@@ -125,7 +128,8 @@
         const double incoming = capacity.m_incoming_cores;
         needed = (core_ms + incoming * join_time_ms) / (cores + incoming);
     }
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(needed));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(std::min(needed, longest_work_ms)));
 }
 
 void record_arrival(shard& state, const submission& what, time_point now)
--- a/src/schedule/placement.cpp
+++ b/src/schedule/placement.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds waiting_task_log_delay{2500};
 
 /// How much longer than callers may ask for it a final state is kept when memory is short.
-constexpr milliseconds short_retention_margin{10000};
+constexpr milliseconds low_memory_retention_margin{10000};
 
 /// Interval of searches for submissions that are to be erased.
 constexpr milliseconds purge_interval{1000};
@@ -501,10 +501,10 @@
     state.m_next_purge = now + purge_interval;
     // Clocks of other hosts may differ, so that a state is kept for longer than it has to be.
     const std::int64_t retention_ms = state.m_bounds.m_status_retention.count();
-    const bool is_memory_short = state.m_budget && is_short(*state.m_budget);
+    const bool is_memory_low = state.m_budget && is_low(*state.m_budget);
     const std::int64_t cutoff_ms =
         unix_ms(wall) -
-        (is_memory_short ? retention_ms + short_retention_margin.count() : 2 * retention_ms);
+        (is_memory_low ? retention_ms + low_memory_retention_margin.count() : 2 * retention_ms);
     for (auto it = state.m_submissions.begin(); it != state.m_submissions.end();) {
         const submission_record& record = *it->second;
         const bool published = record.m_visible == record.m_final && record.m_final_decided;
--- a/src/schedule/shard.cpp
+++ b/src/schedule/shard.cpp
@@ -57,7 +57,7 @@
             std::uint64_t log_number)
 {
     state.m_cancelled_early.erase(entry.m_id);
-    if (defer_if_short(state, entry, log_number)) {
+    if (defer_if_full(state, entry, log_number)) {
         return;
     }
     auto record = std::make_unique<submission_record>();
@@ -107,7 +107,7 @@
     const auto found = state.m_submissions.find(id);
     if (found == state.m_submissions.end()) {
         if (final_state == submission_state::canceled) {
-            early_cancellation& early = remember_early(state, id);
+            early_cancellation& early = remember_cancellation(state, id);
             // The entry before names the organisation, unless the route was public.
             const bool is_named = !early.m_organisations.empty() && early.m_stored_ms == 0;
             if (!is_named) {
@@ -195,7 +195,7 @@
 
 } // namespace
 
-early_cancellation& remember_early(shard& state, const submission_id& id)
+early_cancellation& remember_cancellation(shard& state, const submission_id& id)
 {
     const auto [entry, is_new] = state.m_cancelled_early.try_emplace(id);
     if (is_new) {
@@ -482,7 +482,7 @@
         }
         else {
             // It belongs to the cancellation of an unknown id, whose entry follows.
-            early_cancellation& early = remember_early(state, owner->m_id);
+            early_cancellation& early = remember_cancellation(state, owner->m_id);
             early.m_organisations.insert(owner->m_organisation);
             early.m_stored_ms = 0;
         }
@@ -500,7 +500,7 @@
 void finish_replay(shard& state, time_point now, wall_time wall)
 {
     state.m_loaded = true;
-    note_reading(state);
+    note_log_reading(state);
     state.m_pending.m_entries.emplace_back(log_ownership_taken{state.m_token.get()});
     state.m_awaited_until = now + state.m_bounds.m_unproven_renewal_time +
                             longest_real_time(state.m_bounds.m_worker_lease);
--- a/src/schedule/shard_steps.h
+++ b/src/schedule/shard_steps.h
@@ -16,7 +16,7 @@
 };
 
 /// The cancellation of an id that was not accepted, made if it is not known yet.
-early_cancellation& remember_early(shard& state, const submission_id& id);
+early_cancellation& remember_cancellation(shard& state, const submission_id& id);
 
 /// Finds a task; all pointers are null if it does not exist or its submission's final state is
 /// decided.
--- a/src/submission/submission_budget.cpp
+++ b/src/submission/submission_budget.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t run_divisor = 4;
 
 /// With less than this share free, final states are forgotten sooner.
-constexpr std::size_t short_divisor = 4;
+constexpr std::size_t low_divisor = 4;
 
 std::size_t& held(submission_budget& budget, memory_use use)
 {
@@ -129,9 +129,9 @@
     return std::accumulate(budget.m_held_bytes.begin(), budget.m_held_bytes.end(), std::size_t{0});
 }
 
-bool is_short(const submission_budget& budget)
+bool is_low(const submission_budget& budget)
 {
-    return total_held(budget) > budget.m_max_bytes - budget.m_max_bytes / short_divisor;
+    return total_held(budget) > budget.m_max_bytes - budget.m_max_bytes / low_divisor;
 }
 
 std::string format_submission_metrics(const submission_budget& budget)
--- a/src/submission/submission_budget.h
+++ b/src/submission/submission_budget.h
@@ -69,8 +69,9 @@
 /// Bytes that are held for all uses.
 std::size_t total_held(const submission_budget& budget);
 
-/// True if final states should be forgotten as soon as nobody may ask for them any more.
-bool is_short(const submission_budget& budget);
+/// True if little memory is left, so that final states should be forgotten as soon as nobody may
+/// ask for them any more.
+bool is_low(const submission_budget& budget);
 
 /// The budget's metrics in the Prometheus text format.
 std::string format_submission_metrics(const submission_budget& budget);
--- a/tests/schedule/deferred_submissions_test.cpp
+++ b/tests/schedule/deferred_submissions_test.cpp
@@ -26,8 +26,8 @@
 }
 
 /// A shard with room for one submission whose log has two.
-struct short_shard {
-    short_shard()
+struct full_shard {
+    full_shard()
     {
         m_state.m_budget = make_submission_budget(1);
         m_state.m_budget->m_max_bytes =
@@ -41,14 +41,14 @@
     /// Reads the log for deferred submissions, with more entries behind the accepted ones.
     void read_log(const std::vector<log_entry>& more)
     {
-        std::unordered_set<submission_id> taken_up;
+        std::unordered_set<submission_id> loaded;
         for (const submission_id& id : {first, second}) {
-            replay_deferred(m_state, accepted(id), taken_up, now, wall);
+            replay_deferred(m_state, accepted(id), loaded, now, wall);
         }
         for (const log_entry& entry : more) {
-            replay_deferred(m_state, entry, taken_up, now, wall);
+            replay_deferred(m_state, entry, loaded, now, wall);
         }
-        finish_deferred(m_state, taken_up, wall);
+        finish_deferred(m_state, loaded, wall);
     }
 
     shard m_state;
@@ -58,7 +58,7 @@
 
 TEST_CASE("a submission of the log without room is known and waits", "[deferred]")
 {
-    short_shard given;
+    full_shard given;
     shard& state = given.m_state;
     CHECK(state.m_submissions.contains(first));
     CHECK_FALSE(state.m_submissions.contains(second));
@@ -69,9 +69,9 @@
     CHECK_FALSE(find_deferred_record(state).has_value());
 }
 
-TEST_CASE("a deferred submission is taken up when another has ended", "[deferred]")
+TEST_CASE("a deferred submission is loaded when another has ended", "[deferred]")
 {
-    short_shard given;
+    full_shard given;
     shard& state = given.m_state;
     close_submission(state, *state.m_submissions.at(first), submission_state::succeeded, wall);
     // The final state is forgotten later; it holds less than an open submission.
@@ -84,7 +84,7 @@
 
 TEST_CASE("ends of a deferred submission go to the log and are replayed", "[deferred]")
 {
-    short_shard given;
+    full_shard given;
     shard& state = given.m_state;
     const task_name task{second, 0, 0, 0};
     const bool is_done = GENERATE(true, false);
@@ -101,7 +101,7 @@
 
 TEST_CASE("a deferred submission can be cancelled", "[deferred]")
 {
-    short_shard given;
+    full_shard given;
     shard& state = given.m_state;
     take_batch(state);
     CHECK(cancel(state, second));
@@ -110,9 +110,9 @@
     CHECK(state_of(state, second) == submission_state::canceled);
 }
 
-TEST_CASE("the runs of a deferred submission are stopped before it is taken up", "[deferred]")
+TEST_CASE("the runs of a deferred submission are stopped before it is loaded", "[deferred]")
 {
-    short_shard given;
+    full_shard given;
     shard& state = given.m_state;
     auto worker = std::make_unique<worker_record>();
     run_slot slot;
