--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -341,7 +341,7 @@
     CHECK(decoded->m_steps[1].m_after == std::vector<std::uint32_t>{0});
     // Sums over all steps, tasks and occurrences are exact.
     constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
-    constexpr std::int64_t tasks = 256 * 10000;
+    constexpr std::int64_t tasks = 2560000; ///< Of 256 steps.
     CHECK(decoded->m_steps[0].m_demand.m_cpu_millis <= most / tasks);
     CHECK(critical_path_length(*decoded).count() <= most / 256);
     CHECK(decoded->m_first_start_ms <= most / 2);
