--- /dev/null
+++ b/review/standins-3/scenarios.cpp
@@ -0,0 +1,160 @@
+#include "scenarios.h"
+
+namespace review {
+
+namespace {
+
+constexpr milliseconds client_timeout{3000};
+constexpr milliseconds poll{10};
+
+/// Adds and starts runners of a rack, named PREFIX1 and so on, on machines of their own.
+void add_rack(installation& place, const std::string& prefix, const std::string& rack,
+              std::size_t count, const runner_traits& common)
+{
+    for (std::size_t i = 1; i <= count; ++i) {
+        runner_traits traits = common;
+        traits.m_id = prefix + std::to_string(i);
+        traits.m_machine = "m-" + traits.m_id;
+        traits.m_rack = rack;
+        traits.m_service = "pool-1";
+        runner& added = place.add_runner(traits);
+        place.m_cloud.add(added);
+        added.start("a");
+    }
+}
+
+/// Waits until a condition holds; false if it does not in time.
+asio::awaitable<bool> wait_until(std::function<bool()> holds, milliseconds longest)
+{
+    const steady::time_point end = steady::now() + longest;
+    while (!holds()) {
+        if (steady::now() > end) {
+            co_return false;
+        }
+        co_await pause_for(poll);
+    }
+    co_return true;
+}
+
+void write_wave(installation& place, std::int64_t number, const json::array& machines,
+                std::int64_t cap, std::int64_t duration_s)
+{
+    const json::object wave{
+        {"wave", number}, {"machines", machines}, {"duration-s", duration_s}, {"cap", cap}};
+    place.m_record.write("operator writes op/wave/" + std::to_string(number) + " " +
+                         json::serialize(wave));
+    place.m_store.put("op/wave/" + std::to_string(number), json::serialize(wave));
+}
+
+} // namespace
+
+asio::awaitable<int> run_new_kind(installation& place, bool has_trouble)
+{
+    runner_traits common;
+    common.m_work = milliseconds(1000);
+    constexpr std::size_t others = 4;
+    constexpr std::size_t rack = 8;
+    add_rack(place, "s", "r1", others, common);
+    add_rack(place, "t", "r2", rack, common);
+    bool broken = false;
+    std::size_t starts = 0;
+    for (const auto& each : place.m_runners) {
+        const runner* source = each.get();
+        each->m_on_event = [&, source](const run_event& event) {
+            if (event.m_kind != run_event::kind::started) {
+                return;
+            }
+            ++starts;
+            if (source->kind() != "a") {
+                broken = true;
+                place.m_record.write("ROUTE broken: " + event.m_task + " needs kind a, runner " +
+                                     event.m_runner + " is of kind " + source->kind());
+            }
+        };
+    }
+    place.configure(3);
+    if (!co_await place.start(3)) {
+        co_return could_not_run;
+    }
+    const json::object step{{"count", 400},
+                            {"cpu", 1000},
+                            {"mem-mb", 256},
+                            {"estimate-ms", 1000},
+                            {"requirements", "a"}};
+    const json::object body{{"task-spec", "work"}, {"steps", json::array{step}}};
+    const unsigned status =
+        co_await place.submit(place.m_hosts.front(), "00000000000000bb", body, client_timeout);
+    if (status != 200 || !co_await wait_until([&] { return starts >= 60; }, milliseconds(6000))) {
+        co_return could_not_run;
+    }
+    if (has_trouble) {
+        constexpr milliseconds down_time{1500};
+        constexpr milliseconds start_spread{30};
+        for (std::size_t i = others; i < place.m_runners.size(); ++i) {
+            place.m_runners[i]->crash();
+        }
+        co_await pause_for(down_time);
+        for (std::size_t i = others; i < place.m_runners.size(); ++i) {
+            place.m_runners[i]->start("b");
+            co_await pause_for(start_spread);
+        }
+    }
+    co_await pause_for(milliseconds(4000));
+    co_return broken ? rule_broken : rule_held;
+}
+
+asio::awaitable<int> run_two_waves(installation& place, bool has_trouble)
+{
+    const runner_traits common;
+    add_rack(place, "s", "r1", 4, common);
+    place.m_has_machines = true;
+    place.configure(3);
+    if (!co_await place.start(3)) {
+        co_return could_not_run;
+    }
+    const auto end_trouble = [&]() -> asio::awaitable<void> {
+        co_await pause_for(milliseconds(500));
+        place.m_cloud.m_trouble = cloud::trouble::none;
+        place.m_record.write("machines: calls are answered again");
+    };
+    place.m_cloud.m_on_upkeep = [&](std::int64_t /*wave*/, const std::string& /*machine*/) {
+        place.m_cloud.m_on_upkeep = nullptr;
+        if (has_trouble) {
+            place.m_record.write("machines: calls are reset for 500 ms");
+            place.m_cloud.m_trouble = cloud::trouble::reset;
+            asio::co_spawn(place.m_context, end_trouble(), asio::detached);
+        }
+    };
+    const std::string machine = place.m_runners.front()->traits().m_machine;
+    write_wave(place, 1, {json::value(machine)}, 1, 20);
+    write_wave(place, 2, {json::value(machine)}, 1, 20);
+    bool broken = false;
+    const auto is_over = [&] {
+        std::size_t succeeded = 0;
+        for (const std::int64_t wave : {1, 2}) {
+            const bool said =
+                place.m_store.get("status/wave/" + std::to_string(wave)).find("succeeded") !=
+                std::string::npos;
+            succeeded += said ? 1 : 0;
+            if (said && !place.m_cloud.has_begun(wave, machine) && !broken) {
+                broken = true;
+                place.m_record.write("MIXED broken: status/wave/" + std::to_string(wave) +
+                                     " says succeeded and " + machine +
+                                     " has not begun its upkeep for it");
+            }
+        }
+        return succeeded == 2;
+    };
+    const bool both = co_await wait_until(is_over, milliseconds(20000));
+    co_await pause_for(milliseconds(3000));
+    if (broken) {
+        place.m_record.write(machine + (place.m_cloud.has_begun(1, machine) ? " has" : " has not") +
+                             " begun its upkeep for wave 1 and" +
+                             (place.m_cloud.has_begun(2, machine) ? " has" : " has not") +
+                             " begun it for wave 2");
+        co_return rule_broken;
+    }
+    co_return both ? rule_held : could_not_run;
+}
+
+} // namespace review
--- /dev/null
+++ b/review/standins-3/scenarios.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "installation.h"
+
+namespace review {
+
+inline constexpr int rule_held = 0;
+inline constexpr int rule_broken = 1;
+inline constexpr int could_not_run = 2;
+
+using scenario = asio::awaitable<int> (*)(installation& place, bool has_trouble);
+
+/// ROUTE: a rack of runners crashes, and they start again under their ids with another kind.
+asio::awaitable<int> run_new_kind(installation& place, bool has_trouble);
+
+/// MIXED: two waves name one machine, and an order of the second one gets no answer.
+asio::awaitable<int> run_two_waves(installation& place, bool has_trouble);
+
+} // namespace review
