--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -11,8 +11,10 @@
         std::cerr << "usage: installation SCENARIO PROGRAM FOLDER RECORD 0|1\n";
         return review::could_not_run;
     }
-    const std::map<std::string, review::scenario> scenarios{{"new-kind", review::run_new_kind},
-                                                            {"two-waves", review::run_two_waves}};
+    const std::map<std::string, review::scenario> scenarios{
+        {"new-kind", review::run_new_kind},
+        {"two-waves", review::run_two_waves},
+        {"false-refusal", review::run_false_refusal}};
     const auto found = scenarios.find(argv[1]);
     if (found == scenarios.end()) {
         std::cerr << "no such scenario\n";
--- a/review/standins-3/scenarios.cpp
+++ b/review/standins-3/scenarios.cpp
@@ -1,5 +1,7 @@
 #include "scenarios.h"
 
+#include <csignal>
+
 namespace review {
 
 namespace {
@@ -46,6 +48,25 @@
     place.m_store.put("op/wave/" + std::to_string(number), json::serialize(wave));
 }
 
+/// A submission of 256 steps, each after all earlier ones, that no runner may run.
+json::object make_large_submission()
+{
+    constexpr int steps = 256;
+    json::array list;
+    for (int i = 0; i < steps; ++i) {
+        json::array after;
+        for (int earlier = 0; earlier < i; ++earlier) {
+            after.push_back(earlier);
+        }
+        list.push_back(json::object{{"count", 1},
+                                    {"cpu", 1000},
+                                    {"estimate-ms", 1},
+                                    {"requirements", "other"},
+                                    {"after", std::move(after)}});
+    }
+    return {{"task-spec", "large"}, {"steps", std::move(list)}};
+}
+
 } // namespace
 
 asio::awaitable<int> run_new_kind(installation& place, bool has_trouble)
@@ -157,4 +178,61 @@
     co_return both ? rule_held : could_not_run;
 }
 
+asio::awaitable<int> run_false_refusal(installation& place, bool has_trouble)
+{
+    const runner_traits common;
+    add_rack(place, "s", "r1", 4, common);
+    const std::string id = "00000000000000cc";
+    bool started = false;
+    for (const auto& each : place.m_runners) {
+        each->m_on_event = [&](const run_event& event) {
+            started = started || event.m_task.starts_with(id);
+        };
+    }
+    place.configure(3);
+    if (!co_await place.start(3)) {
+        co_return could_not_run;
+    }
+    host* owner = place.named_in("c/owner/pool-1");
+    const auto entry = std::find_if(place.m_hosts.begin(), place.m_hosts.end(),
+                                    [owner](const host& each) { return &each != owner; });
+    const json::object step{{"count", 1}, {"cpu", 1000}, {"estimate-ms", 1000}};
+    const json::object small{{"task-spec", "work"}, {"steps", json::array{step}}};
+    // Opens the connection between the two hosts.
+    const unsigned first = co_await place.submit(*entry, "00000000000000c0", small, client_timeout);
+    if (first != 200) {
+        co_return could_not_run;
+    }
+    constexpr milliseconds freeze_time{1000};
+    constexpr milliseconds before_small{250};
+    constexpr milliseconds small_timeout{700};
+    constexpr int large_count = 40;
+    const auto freeze = [&]() -> asio::awaitable<void> {
+        place.signal_host(*owner, SIGSTOP);
+        co_await pause_for(freeze_time);
+        place.signal_host(*owner, SIGCONT);
+    };
+    if (has_trouble) {
+        asio::co_spawn(place.m_context, freeze(), asio::detached);
+    }
+    const json::object large = make_large_submission();
+    for (int i = 0; i < large_count; ++i) {
+        const auto send = [&place, &entry, &large](int number) -> asio::awaitable<void> {
+            co_await place.submit(*entry, "0000000000000d" + std::to_string(10 + number), large,
+                                  client_timeout);
+        };
+        asio::co_spawn(place.m_context, send(i), asio::detached);
+    }
+    co_await pause_for(before_small);
+    const unsigned status = co_await place.submit(*entry, id, small, small_timeout);
+    co_await pause_for(milliseconds(6000));
+    const bool refused = status == 429 || status == 503;
+    if (refused && started) {
+        place.m_record.write("REFUSED broken: " + id + " was answered " + std::to_string(status) +
+                             " and has run");
+        co_return rule_broken;
+    }
+    co_return rule_held;
+}
+
 } // namespace review
--- a/review/standins-3/scenarios.h
+++ b/review/standins-3/scenarios.h
@@ -16,4 +16,7 @@
 /// MIXED: two waves name one machine, and an order of the second one gets no answer.
 asio::awaitable<int> run_two_waves(installation& place, bool has_trouble);
 
+/// REFUSED: the host that owns the pool freezes for a second while large submissions come.
+asio::awaitable<int> run_false_refusal(installation& place, bool has_trouble);
+
 } // namespace review
