--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,7 +9,7 @@
 for source in review/standins-3/*.cpp; do
     object="$out/$(basename "$source" .cpp).o"
     objects+=("$object")
-    g++ -std=c++20 -O1 -Wall -Wextra -c "$source" -o "$object" &
+    g++ -std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -c "$source" -o "$object" &
     jobs+=($!)
 done
 for job in "${jobs[@]}"; do
--- a/review/standins-3/runner.h
+++ b/review/standins-3/runner.h
@@ -49,6 +49,9 @@
     /// Reports that the runner is draining.
     void drain();
 
+    /// Sets how long stops take from now on.
+    void set_stop_time(milliseconds time) { m_traits.m_stop_time = time; }
+
     [[nodiscard]] const runner_traits& traits() const { return m_traits; }
     [[nodiscard]] const std::string& kind() const { return m_kind; }
     [[nodiscard]] bool is_up() const { return m_up; }
--- a/review/standins-3/scenarios.cpp
+++ b/review/standins-3/scenarios.cpp
@@ -38,6 +38,53 @@
     co_return true;
 }
 
+/// Number of runners on which a subtask is at work.
+std::size_t count_at_work(const installation& place, const std::string& task)
+{
+    return static_cast<std::size_t>(
+        std::count_if(place.m_runners.begin(), place.m_runners.end(),
+                      [&](const auto& each) { return each->is_at_work(task); }));
+}
+
+/// Checks the rule AVAIL for a step of which one subtask may be unavailable.
+class availability_check {
+public:
+    explicit availability_check(installation& place) : m_place(place) {}
+
+    /// Takes note of what happens on a runner, all of whose subtasks last.
+    void watch(runner& source)
+    {
+        source.m_lasts = [](const std::string& /*task*/) { return true; };
+        source.m_on_event = [this, &source](const run_event& event) { note(source, event); };
+    }
+
+    bool m_broken = false;
+    std::size_t m_moves = 0;
+
+private:
+    void note(const runner& source, const run_event& event)
+    {
+        if (event.m_kind != run_event::kind::ended || event.m_how != "stopped") {
+            return;
+        }
+        std::size_t away = 0;
+        for (const std::string& other : m_ended_by_order) {
+            away += other != event.m_task && count_at_work(m_place, other) == 0 ? 1 : 0;
+        }
+        m_ended_by_order.insert(event.m_task);
+        ++m_moves;
+        if (event.m_at_work && !source.is_draining() && away >= 1) {
+            m_broken = true;
+            m_place.m_record.write("AVAIL broken: " + event.m_task + " was at work on " +
+                                   event.m_runner + ", " + std::to_string(away) +
+                                   " other of its step is away, ended by an order");
+        }
+    }
+
+    installation& m_place;
+    std::set<std::string> m_ended_by_order;
+};
+
 void write_wave(installation& place, std::int64_t number, const json::array& machines,
                 std::int64_t cap, std::int64_t duration_s)
 {
@@ -293,4 +340,55 @@
     co_return broken ? rule_broken : rule_held;
 }
 
+asio::awaitable<int> run_drain_beside_wave(installation& place, bool has_trouble)
+{
+    constexpr std::size_t lasting = 5;
+    runner_traits common;
+    add_rack(place, "s", "r1", lasting, common);
+    place.m_has_machines = true;
+    availability_check check(place);
+    for (const auto& each : place.m_runners) {
+        check.watch(*each);
+    }
+    place.configure(3, "pool-1");
+    if (!co_await place.start(3)) {
+        co_return could_not_run;
+    }
+    const json::object step{{"count", lasting},     {"cpu", 3000},          {"mem-mb", 256},
+                            {"long-running", true}, {"max-unavailable", 1}, {"anti-affinity", 1}};
+    const json::object body{{"task-spec", "serve"}, {"steps", json::array{step}}};
+    const unsigned status =
+        co_await place.submit(place.m_hosts.front(), "00000000000000aa", body, client_timeout);
+    const auto all_at_work = [&] {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < lasting; ++i) {
+            count += count_at_work(place, "00000000000000aa.0.0." + std::to_string(i));
+        }
+        return count == lasting;
+    };
+    if (status != 200 || !co_await wait_until(all_at_work, milliseconds(8000))) {
+        co_return could_not_run;
+    }
+    write_wave(place, 1, {json::value(place.m_runners.front()->traits().m_machine)}, 1, 26);
+    if (has_trouble) {
+        place.m_runners.back()->set_stop_time(milliseconds(200));
+        place.m_runners.back()->drain();
+    }
+    co_await pause_for(milliseconds(800));
+    runner_traits joining = common;
+    joining.m_id = "u1";
+    joining.m_machine = "m-u1";
+    joining.m_rack = "r1";
+    joining.m_service = "pool-1";
+    runner& added = place.add_runner(joining);
+    place.m_cloud.add(added);
+    check.watch(added);
+    added.start("a");
+    co_await pause_for(milliseconds(8000));
+    if (check.m_moves == 0) {
+        co_return could_not_run;
+    }
+    co_return check.m_broken ? rule_broken : rule_held;
+}
+
 } // namespace review
--- a/review/standins-3/scenarios.h
+++ b/review/standins-3/scenarios.h
@@ -22,4 +22,7 @@
 /// TWICE: a version of the config sends a queue with running work to another service.
 asio::awaitable<int> run_moved_queue(installation& place, bool has_trouble);
 
+/// AVAIL: a runner drains while the machine of another one is due for upkeep, and room appears.
+asio::awaitable<int> run_drain_beside_wave(installation& place, bool has_trouble);
+
 } // namespace review
