--- a/review/standins-3/installation.cpp
+++ b/review/standins-3/installation.cpp
@@ -120,6 +120,15 @@
     start_host(what);
 }
 
+asio::awaitable<void> installation::kill_host(host& what)
+{
+    signal_host(what, SIGKILL);
+    waitpid(what.m_process, nullptr, 0);
+    what.m_process = -1;
+    co_await pause_for(restart_delay);
+    start_host(what);
+}
+
 host* installation::named_in(const std::string& key)
 {
     const std::string value = m_store.get(key);
--- a/review/standins-3/installation.h
+++ b/review/standins-3/installation.h
@@ -39,6 +39,9 @@
     /// Stops a host as the platform does, and starts it again.
     asio::awaitable<void> restart_host(host& what);
 
+    /// Kills a host and starts it again.
+    asio::awaitable<void> kill_host(host& what);
+
     /// The host whose name stands in an item of the store; null if there is none.
     host* named_in(const std::string& key);
 
--- a/review/standins-3/net.h
+++ b/review/standins-3/net.h
@@ -68,6 +68,9 @@
     /// Listens, on the port that was used before or on a free one.
     void start();
 
+    /// Takes another free port, for the next start.
+    void change_port() { m_port = find_free_port(); }
+
     /// Closes the port and resets all connections.
     void stop();
 
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -41,6 +41,7 @@
 void runner::start_as_new()
 {
     m_traits.m_id += "n";
+    m_server.change_port();
     start(m_kind);
 }
 
--- a/review/standins-3/scenarios.cpp
+++ b/review/standins-3/scenarios.cpp
@@ -391,4 +391,104 @@
     co_return check.m_broken ? rule_broken : rule_held;
 }
 
+asio::awaitable<int> run_waiting_owners(installation& place, bool has_trouble)
+{
+    constexpr std::size_t lasting = 3;
+    const runner_traits common;
+    add_rack(place, "s", "r1", lasting + 1, common);
+    place.m_has_machines = true;
+    for (const auto& each : place.m_runners) {
+        each->m_lasts = [](const std::string& /*task*/) { return true; };
+    }
+    place.configure(3, "pool-1");
+    if (!co_await place.start(4)) {
+        co_return could_not_run;
+    }
+    const json::object step{{"count", lasting},     {"cpu", 3000},          {"mem-mb", 256},
+                            {"long-running", true}, {"max-unavailable", 1}, {"anti-affinity", 1}};
+    const json::object body{{"task-spec", "serve"}, {"steps", json::array{step}}};
+    const unsigned status =
+        co_await place.submit(place.m_hosts.front(), "00000000000000aa", body, client_timeout);
+    const auto name_of = [](std::size_t i) { return "00000000000000aa.0.0." + std::to_string(i); };
+    const auto runs = [&](const std::string& task) {
+        return std::any_of(place.m_runners.begin(), place.m_runners.end(), [&](const auto& each) {
+            const std::vector<std::string> tasks = each->tasks();
+            return std::find(tasks.begin(), tasks.end(), task) != tasks.end();
+        });
+    };
+    const auto all_run = [&] {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < lasting; ++i) {
+            count += count_at_work(place, name_of(i));
+        }
+        return count == lasting;
+    };
+    if (status != 200 || !co_await wait_until(all_run, milliseconds(8000))) {
+        co_return could_not_run;
+    }
+    // The idle runner's machine and one with a subtask are due.
+    json::array due;
+    for (const auto& each : place.m_runners) {
+        if (each->tasks().empty()) {
+            due.push_back(json::value(each->traits().m_machine));
+        }
+    }
+    due.push_back(json::value(place.m_runners.front()->traits().m_machine));
+    bool began = false;
+    place.m_cloud.m_on_upkeep = [&](std::int64_t /*wave*/, const std::string& /*machine*/) {
+        began = true;
+    };
+    write_wave(place, 1, due, 1, 26);
+    if (!co_await wait_until([&] { return began; }, milliseconds(5000))) {
+        co_return could_not_run;
+    }
+    if (has_trouble) {
+        co_await pause_for(milliseconds(200));
+        asio::co_spawn(place.m_context, place.kill_host(*place.named_in("c/owner/pool-1")),
+                       asio::detached);
+    }
+    // A subtask is stopped so that its machine can be maintained.
+    const auto any_stopped = [&] {
+        return !runs(name_of(0)) || !runs(name_of(1)) || !runs(name_of(2));
+    };
+    if (!co_await wait_until(any_stopped, milliseconds(20000))) {
+        co_return could_not_run;
+    }
+    steady::time_point calm_since = steady::now();
+    if (has_trouble) {
+        co_await pause_for(milliseconds(3000));
+        host* owner = place.named_in("c/owner/pool-1");
+        if (owner == nullptr) {
+            co_return could_not_run;
+        }
+        calm_since = steady::now();
+        place.m_record.write("planned restart of the pool's owner; nothing else happens from now");
+        asio::co_spawn(place.m_context, place.restart_host(*owner), asio::detached);
+    }
+    // The rule: 4 s of calm, and 3 s more in which a subtask does not run with room for it.
+    constexpr milliseconds calm_before{4000};
+    constexpr milliseconds longest_gap{3000};
+    std::map<std::string, steady::time_point> missing_since;
+    bool broken = false;
+    const steady::time_point end = steady::now() + milliseconds(14000);
+    while (steady::now() < end) {
+        for (std::size_t i = 0; i < lasting; ++i) {
+            const std::string task = name_of(i);
+            if (runs(task) || steady::now() < calm_since + calm_before) {
+                missing_since.erase(task);
+                continue;
+            }
+            const auto since = missing_since.try_emplace(task, steady::now()).first->second;
+            if (!broken && steady::now() - since > longest_gap) {
+                broken = true;
+                place.m_record.write("LOST broken: " + task +
+                                     " does not run for 3 s after 4 s of "
+                                     "calm, with two idle runners");
+            }
+        }
+        co_await pause_for(poll);
+    }
+    co_return broken ? rule_broken : rule_held;
+}
+
 } // namespace review
--- a/review/standins-3/scenarios.h
+++ b/review/standins-3/scenarios.h
@@ -25,4 +25,7 @@
 /// AVAIL: a runner drains while the machine of another one is due for upkeep, and room appears.
 asio::awaitable<int> run_drain_beside_wave(installation& place, bool has_trouble);
 
+/// LOST: the pool's owner is killed during a wave, and the next owner is restarted as planned.
+asio::awaitable<int> run_waiting_owners(installation& place, bool has_trouble);
+
 } // namespace review
