--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case-3.sh" "$(dirname "$0")" two-waves
+# TROUBLE=0 leaves the disturbance out.
+exec "$(dirname "$0")/../run-case-3.sh" "$(dirname "$0")" two-waves "${TROUBLE:-1}"
