--- a/review/standins-3/installation.h
+++ b/review/standins-3/installation.h
@@ -42,8 +42,8 @@
     /// The host whose name stands in an item of the store; null if there is none.
     host* named_in(const std::string& key);
 
-    /// Writes a configuration with one queue.
-    void configure(std::int64_t max_attempts);
+    /// Writes a version of the configuration: one queue, of a service, and two services.
+    void configure(std::int64_t version, const std::string& service);
 
     /// Hands a submission in at a host, once; returns the status.
     asio::awaitable<unsigned> submit(host& at, std::string id, json::object body,
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -14,6 +14,7 @@
     const std::map<std::string, review::scenario> scenarios{
         {"new-kind", review::run_new_kind},
         {"two-waves", review::run_two_waves},
+        {"moved-queue", review::run_moved_queue},
         {"false-refusal", review::run_false_refusal}};
     const auto found = scenarios.find(argv[1]);
     if (found == scenarios.end()) {
--- a/review/standins-3/scenarios.h
+++ b/review/standins-3/scenarios.h
@@ -19,4 +19,7 @@
 /// REFUSED: the host that owns the pool freezes for a second while large submissions come.
 asio::awaitable<int> run_false_refusal(installation& place, bool has_trouble);
 
+/// TWICE: a version of the config sends a queue with running work to another service.
+asio::awaitable<int> run_moved_queue(installation& place, bool has_trouble);
+
 } // namespace review
