--- a/review/standins-3/installation.cpp
+++ b/review/standins-3/installation.cpp
@@ -146,12 +146,18 @@
     return *m_runners.back();
 }
 
-void installation::configure(std::int64_t version, const std::string& service)
+void installation::configure(std::int64_t version, const std::string& service,
+                             std::int64_t max_attempts)
 {
-    const json::object route{
-        {"name", "queue-1"},  {"host", "work.example"}, {"prefix", "/work/"},
-        {"service", service}, {"timeout-ms", 3000},     {"priority", 0},
-        {"max-attempts", 3},  {"stretch-factor", 2},    {"target-duration-ms", 60000}};
+    const json::object route{{"name", "queue-1"},
+                             {"host", "work.example"},
+                             {"prefix", "/work/"},
+                             {"service", service},
+                             {"timeout-ms", 3000},
+                             {"priority", 0},
+                             {"max-attempts", max_attempts},
+                             {"stretch-factor", 2},
+                             {"target-duration-ms", 60000}};
     const json::object config{
         {"version", version},
         {"routes", json::array{route}},
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -17,6 +17,7 @@
         {"moved-queue", review::run_moved_queue},
         {"drain-beside-wave", review::run_drain_beside_wave},
         {"waiting-owners", review::run_waiting_owners},
+        {"split-record", review::run_split_record},
         {"false-refusal", review::run_false_refusal}};
     const auto found = scenarios.find(argv[1]);
     if (found == scenarios.end()) {
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -59,6 +59,13 @@
     m_runs.clear();
 }
 
+void runner::fail_all()
+{
+    for (const std::string& task : tasks()) {
+        end_run(task, "failed");
+    }
+}
+
 void runner::drain()
 {
     m_draining = true;
@@ -234,7 +241,11 @@
         running.push_back(json::array{task, what.m_number, "", percent(task, what), 0});
     }
     json::array finished;
+    constexpr std::size_t most_ends = 500;
     for (const end& each : m_ends) {
+        if (finished.size() == most_ends) {
+            break;
+        }
         finished.push_back(json::array{each.m_number, each.m_task, each.m_run, each.m_how, ""});
     }
     co_return reply{200,
--- a/review/standins-3/runner.h
+++ b/review/standins-3/runner.h
@@ -46,6 +46,9 @@
     /// Ends the lifetime without a word. What ran is gone.
     void crash();
 
+    /// Ends everything that runs as failed.
+    void fail_all();
+
     /// Reports that the runner is draining.
     void drain();
 
--- a/review/standins-3/scenarios.cpp
+++ b/review/standins-3/scenarios.cpp
@@ -491,4 +491,83 @@
     co_return broken ? rule_broken : rule_held;
 }
 
+asio::awaitable<int> run_split_record(installation& place, bool has_trouble)
+{
+    constexpr std::size_t submissions = 480;
+    constexpr milliseconds interval{15};
+    runner_traits common;
+    common.m_cpu = 16000;
+    common.m_work = milliseconds(40000);
+    add_rack(place, "s", "r1", 4, common);
+    add_rack(place, "t", "r2", 4, common);
+    add_rack(place, "u", "r3", 4, common);
+    std::set<std::string> failed;
+    std::size_t starts = 0;
+    bool broken = false;
+    for (const auto& each : place.m_runners) {
+        each->m_on_event = [&](const run_event& event) {
+            if (event.m_kind == run_event::kind::ended && event.m_how == "failed") {
+                failed.insert(event.m_task);
+            }
+            if (event.m_kind != run_event::kind::started) {
+                return;
+            }
+            ++starts;
+            if (failed.contains(event.m_task)) {
+                broken = true;
+                place.m_record.write("BUDGET broken: " + event.m_task +
+                                     " starts again, its only attempt has failed");
+            }
+        };
+    }
+    place.configure(3, "pool-1", 1);
+    if (!co_await place.start(3)) {
+        co_return could_not_run;
+    }
+    bool killed = false;
+    place.m_store.m_on_commit = [&](const std::string& key, std::size_t bytes) {
+        constexpr std::size_t long_record = 20000;
+        if (!key.starts_with("l/pool-1/") || failed.empty()) {
+            return;
+        }
+        place.m_record.write("the store has written " + key + ", " + std::to_string(bytes) +
+                             " bytes");
+        if (!has_trouble || killed || bytes < long_record) {
+            return;
+        }
+        killed = true;
+        asio::co_spawn(place.m_context, place.kill_host(*place.named_in("c/owner/pool-1")),
+                       asio::detached);
+    };
+    const json::object step{{"count", 1}, {"cpu", 20}, {"mem-mb", 1}, {"estimate-ms", 9000}};
+    const json::object body{{"task-spec", "work"}, {"steps", json::array{step}}};
+    std::size_t accepted = 0;
+    for (std::size_t i = 0; i < submissions; ++i) {
+        const auto send = [&place, &body, &accepted](std::size_t number) -> asio::awaitable<void> {
+            const std::string id = "0000000000" + std::to_string(100000 + number);
+            const unsigned status =
+                co_await place.submit(place.m_hosts.front(), id, body, client_timeout);
+            accepted += status == 200 ? 1 : 0;
+        };
+        asio::co_spawn(place.m_context, send(i), asio::detached);
+        co_await pause_for(interval);
+    }
+    if (!co_await wait_until([&] { return starts >= submissions; }, milliseconds(8000))) {
+        co_return could_not_run;
+    }
+    co_await pause_for(milliseconds(1000));
+    const auto busiest = std::max_element(place.m_runners.begin(), place.m_runners.end(),
+                                          [](const auto& left, const auto& right) {
+                                              return left->tasks().size() < right->tasks().size();
+                                          });
+    place.m_record.write("runner " + (*busiest)->traits().m_id + " fails the " +
+                         std::to_string((*busiest)->tasks().size()) + " subtasks that it runs");
+    (*busiest)->fail_all();
+    co_await pause_for(milliseconds(16000));
+    if (has_trouble && !killed) {
+        co_return could_not_run;
+    }
+    co_return broken ? rule_broken : rule_held;
+}
+
 } // namespace review
--- a/review/standins-3/scenarios.h
+++ b/review/standins-3/scenarios.h
@@ -28,4 +28,7 @@
 /// LOST: the pool's owner is killed during a wave, and the next owner is restarted as planned.
 asio::awaitable<int> run_waiting_owners(installation& place, bool has_trouble);
 
+/// BUDGET: the owner is killed between two writes while many submissions have failed for good.
+asio::awaitable<int> run_split_record(installation& place, bool has_trouble);
+
 } // namespace review
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -164,6 +164,11 @@
             erase(key, revision);
         }
     }
+    const json::array& puts = body.at("puts").as_array();
+    if (m_on_commit && !puts.empty()) {
+        const json::object& first = puts.front().as_object();
+        m_on_commit(text_of(first, "key"), from_base64(text_of(first, "value")).size());
+    }
     return {200, {{"revision", revision}}};
 }
 
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -20,6 +20,9 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    /// Called after a write under a condition, with the first key and the size of its value.
+    std::function<void(const std::string&, std::size_t)> m_on_commit;
+
     /// Value of an item; empty if there is none.
     [[nodiscard]] std::string get(const std::string& key) const;
 
